--- /dev/null
+++ b/astertrack/app.py
@@ -0,0 +1,102 @@
+"""Puts the parts of one call router together."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from typing import Any
+
+import structlog
+
+from astertrack.config import Config
+from astertrack.core import Router
+from astertrack.core.model import Record
+from astertrack.net.bulletin import Bulletin, read_event
+from astertrack.net.callers import CallerFront
+from astertrack.net.clock import ReactorClock
+from astertrack.net.peers import Endpoint, PeerLink, PeerTable
+from astertrack.wire.common import Unreadable
+from ospreylug import interface as io
+
+log = structlog.get_logger()
+LAST_CALLERS_US = 900_000  # after SIGTERM connections and set-ups still come: 0.4 s and 0.2 s, with some room
+CHECK_US = 50_000  # how often it is looked whether all calls are over
+LISTEN_BACKLOG = 512
+
+
+class App:
+    """One call router."""
+
+    def __init__(self, config: Config, reactor: Any) -> None:
+        self.config, self.reactor = config, reactor
+        self.counts: Counter[str] = Counter()
+        self.clock = ReactorClock(reactor)
+        self.peers = PeerTable(self._link, config.settings.home)
+        self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self._record)
+        self.router.counts = self.counts
+        self.front = CallerFront(self.router, config.classes, self.counts)
+        self.ports: list[Any] = []
+        self.stopping = False
+
+    def _link(self, endpoint: Endpoint) -> PeerLink:
+        link = PeerLink(endpoint.entry.exchange, endpoint.address, self.router, self.clock, self.counts,
+                        self.config.dial_us)
+        link.dial()
+        return link
+
+    def _record(self, record: Record) -> None:
+        """Nothing keeps records on the platform."""
+
+    def start(self) -> None:
+        """Learn the peers, listen, and follow the bulletin."""
+        config = self.config
+        endpoints: dict[str, Endpoint] = {}
+        for raw in config.known:
+            try:
+                _, complete, changed = read_event(raw, config.zones, config.kinds)
+            except Unreadable as wrong:
+                log.warning("known event that cannot be read", error=str(wrong))
+                continue
+            if complete:
+                endpoints = {}
+            endpoints.update({e.entry.exchange: e for e in changed})
+        listed = [e for e in endpoints.values() if e.entry.readiness is not io.Readiness.GONE]
+        self._roster(io.RosterKind.RESTORED, listed)
+        self.ports.append(self.reactor.listenTCP(
+            config.port, self.front, backlog=LISTEN_BACKLOG, interface=config.host))
+        if config.bulletin:
+            Bulletin(config.bulletin, config.known_last, config.zones, config.kinds, self.clock, self.counts,
+                     lambda complete, changed: self._roster(
+                         io.RosterKind.REPLACE if complete else io.RosterKind.UPDATE, changed)).dial()
+        log.info("serving", name=config.name, host=config.host, port=config.port, peers=len(listed))
+
+    def _roster(self, kind: io.RosterKind, endpoints: list[Endpoint]) -> None:
+        for e in endpoints:
+            log.info("peer", name=e.entry.exchange, number=e.entry.number, address=e.address,
+                     state=e.entry.readiness.value, started_us=e.entry.started_us)
+        self.router.set_roster(io.RosterChange(kind, tuple(e.entry for e in endpoints)))
+        self.peers.update(endpoints, complete=kind is not io.RosterKind.UPDATE)
+
+    def stop(self) -> None:
+        """Finish what is taken, and take what still comes, as the platform has it at a planned restart."""
+        if self.stopping:
+            return
+        self.stopping = True
+        log.info("stopping", calls=len(self.router.calls))
+        self.clock.at(self.clock.now_us() + LAST_CALLERS_US, self._close)
+
+    def _close(self) -> None:
+        for port in self.ports:
+            port.stopListening()
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.router.calls:
+            self.clock.at(self.clock.now_us() + CHECK_US, self._finish)
+        elif self.reactor.running:
+            self.reactor.stop()
+
+    def print_counts(self) -> None:
+        """Print the counters, one line."""
+        figures = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
+        print(f"counters calls_in_hand={len(self.router.calls)} {figures}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/astertrack/config.py
@@ -0,0 +1,79 @@
+"""What a call router is told at its start: RELAY_* and the JSON that RELAY_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ospreylug import interface as io
+from ospreylug.wirehost import WireError, read_settings
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A call router's configuration, read once."""
+
+    name: str
+    host: str
+    port: int
+    seed: int
+    settings: io.Settings
+    classes: dict[str, int]  # a class's position, by its name
+    zones: list[str]
+    kinds: list[str]
+    dial_us: int
+    bulletin: str
+    known_last: int
+    known: list[Any]  # the bulletin's events so far
+
+
+def split_address(address: object, name: str) -> tuple[str, int]:
+    """Read host:port."""
+    host, _, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{name}: not host:port: {address!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_config(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the configuration, or raise a ConfigError."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_text("utf-8"))
+    except OSError as wrong:
+        raise ConfigError(f"RELAY_CONFIG: cannot read {path}: {wrong.strerror}") from None
+    except (ValueError, RecursionError):
+        raise ConfigError(f"RELAY_CONFIG: {path} is not JSON") from None
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError(f"RELAY_CONFIG: {path} holds no object with settings")
+    env = raw["settings"]
+    try:
+        settings = read_settings(env)
+        seed = int(str(raw.get("seed") or "0"), 16)
+        known = raw.get("known") or {"no": 0, "items": []}
+        limits = env.get("limits") or {}
+        classes = {str(service["name"]): at for at, service in enumerate(env["services"])}
+        host, port = split_address(environ.get("RELAY_LISTEN") or raw.get("listen"), "RELAY_LISTEN")
+        bulletin = str(raw.get("bulletin") or "")
+        if bulletin:
+            split_address(bulletin, "bulletin")
+        return Config(
+            name=environ.get("RELAY_NAME") or str(raw.get("name") or ""), host=host, port=port, seed=seed,
+            settings=settings, classes=classes, zones=[str(zone) for zone in env.get("areas") or ()],
+            kinds=[str(kind) for kind in env.get("kinds") or ()],
+            dial_us=int(limits.get("dialTimeoutUs") or 500_000), bulletin=bulletin,
+            known_last=int(known["no"]), known=list(known["items"]))
+    except WireError as wrong:
+        raise ConfigError(f"settings: {wrong}") from None
+    except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+        raise ConfigError(f"RELAY_CONFIG: {path}: {wrong!r}") from None
--- /dev/null
+++ b/astertrack/core/router.py
@@ -0,0 +1,342 @@
+"""The router: holds calls and attempts, feeds the decision module and carries out what it decides.
+
+Whatever the module asks for, five things are kept here: one final answer a call, before its deadline;
+attempts never overlap; a resend waits for the release; nothing new goes to a peer that drains or is gone; no
+more attempts than the settings allow.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from astertrack.core.model import (
+    CUT,
+    NORMAL,
+    AttemptEnd,
+    Caller,
+    Clock,
+    Final,
+    Log,
+    Peers,
+    Record,
+    Request,
+    Timer,
+)
+from ospreylug import interface as io
+from ospreylug.logic import Controller
+
+ATTEMPT_MARGIN_US = 15_000  # an attempt ends so long before its call's deadline: the answer is in time
+ANSWER_MARGIN_US = 5_000  # what is unanswered so long before its deadline, the router refuses itself
+UNCERTAIN = (io.Outcome.TIMEOUT, io.Outcome.CUT, io.Outcome.CALLED_OFF)  # its release has to be awaited
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A set-up that is out, or the call that came of it."""
+
+    number: int
+    peer: str
+    sent_us: int
+    timer: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A call in hand: unanswered, or standing."""
+
+    request: Request
+    caller: Caller
+    guard: Timer | None = None  # refuses the call should nothing else have answered it
+    attempt: Attempt | None = None
+    attempts: int = 0
+    not_before_us: int = 0
+    standing: bool = False
+
+
+class Router:
+    """One exchange's calls. Events come in by its methods; answers and set-ups leave by its ports."""
+
+    def __init__(self, settings: io.Settings, seed: int, clock: Clock, peers: Peers, log: Log,
+                 record: Callable[[Record], None]) -> None:
+        self.settings, self.clock, self.peers, self.log, self.record = settings, clock, peers, log, record
+        self.controller = Controller(settings, seed)
+        self.calls: dict[str, Call] = {}
+        self.at_peer: dict[str, dict[str, Call]] = {}  # calls with an attempt out or standing, by peer
+        self.roster: dict[str, io.Entry] = {}
+        self.free: dict[str, float] = {}  # circuits free in the group to a peer, as last told
+        self.counts: Counter[str] = Counter()
+        self._events: deque[io.Event] = deque()
+        self._busy = False
+        self._now_us = 0
+
+    # ---- what callers do
+
+    def offer(self, request: Request, caller: Caller) -> bool:
+        """Take a call; False if a call of this id is in hand already."""
+        if request.call in self.calls:
+            self.counts["offers_repeated"] += 1
+            return False
+        call = self.calls[request.call] = Call(request, caller)
+        self.counts["calls_in_transit" if request.transit else "calls_fresh"] += 1
+        if request.deadline_us - ANSWER_MARGIN_US <= self.now_us():
+            self.counts["offers_expired"] += 1
+            self._answer(call, Final.REFUSED)
+            return True
+        call.guard = self.clock.at(request.deadline_us - ANSWER_MARGIN_US, lambda: self._overdue(call))
+        self._feed(io.CallOffered(
+            request.call, request.service, request.dest, request.number, request.deadline_us, request.width,
+            request.tenant, request.transit, request.via, request.repeated, request.cut_before))
+        return True
+
+    def cancel(self, name: str) -> bool:
+        """The caller gives up an unanswered call; False if there is none."""
+        call = self.calls.get(name)
+        if call is None or call.standing:
+            return False
+        self._finish(call, Final.GIVEN_UP)
+        self._feed(io.CallerGone(name))
+        if call.attempt is not None:
+            self._give_up(call, io.Outcome.CALLED_OFF, settled=True)
+        return True
+
+    def hang_up(self, name: str, cause: int) -> bool:
+        """The caller releases a call that stands; False if there is none."""
+        call = self.calls.get(name)
+        if call is None or not call.standing or call.attempt is None:
+            return False
+        self.counts["releases_by_caller"] += 1
+        self.peers.release(call.attempt.peer, name, cause)
+        self._over(call, AttemptEnd(io.Outcome.OK if cause == NORMAL else io.Outcome.CUT))
+        return True
+
+    # ---- what peers do
+
+    def answered(self, peer: str, name: str, description: bytes) -> None:
+        """A peer answered a set-up."""
+        call = self._at(peer, name)
+        if call is None or call.attempt is None:
+            # The answer to an attempt given up: the peer holds circuits for a call that nobody waits for.
+            self.counts["answers_late"] += 1
+            self.peers.release(peer, name, NORMAL)
+            return
+        if call.standing:
+            self.counts["answers_repeated"] += 1
+            return
+        call.standing = True
+        self._stop(call)
+        self.counts["final_answered"] += 1
+        call.caller.answered(name, description)
+        self._note(call, Final.ANSWERED.value)
+        delay = self.now_us() - call.attempt.sent_us
+        self._feed(io.CallStands(name, call.attempt.number, peer, delay))
+
+    def ended(self, peer: str, name: str, end: AttemptEnd) -> None:
+        """A peer ended an attempt, or a call that stood."""
+        call = self._at(peer, name)
+        if call is None:
+            self.counts["releases_unknown"] += 1
+        elif call.standing:
+            self._cut_or_ended(call, end)
+        else:
+            self._attempt_over(call, end, settled=False)
+
+    def peer_lost(self, peer: str) -> None:
+        """A peer's process has died, and all its calls with it: nobody else will release them."""
+        for call in list(self.at_peer.get(peer, {}).values()):
+            if call.standing:
+                self._cut_or_ended(call, AttemptEnd(io.Outcome.CUT))
+
+    def group_state(self, peer: str, load: io.Load, ok: bool = True, delay_us: int = 0) -> None:
+        """A peer told the state of the group towards it, or answered a probe."""
+        if peer in self.roster:
+            if load.free is not None:
+                self.free[peer] = load.free
+            self._feed(io.GroupStatus(peer, ok, delay_us, load))
+
+    def set_roster(self, change: io.RosterChange) -> None:
+        """The bulletin told of peers."""
+        before = dict(self.roster)
+        if change.kind in (io.RosterKind.REPLACE, io.RosterKind.RESTORED):
+            self.roster = {}
+        for entry in change.entries:
+            if entry.readiness is io.Readiness.GONE:
+                self.roster.pop(entry.exchange, None)
+            else:
+                self.roster[entry.exchange] = entry
+        self._feed(change)
+        for name, old in before.items():
+            new = self.roster.get(name)
+            if new is None:
+                self.free.pop(name, None)
+                self.peer_lost(name)  # a machine that vanished sends no release
+            elif new.started_us and new.started_us != old.started_us:
+                for call in list(self.at_peer.get(name, {}).values()):  # calls of the process before
+                    if call.standing and call.attempt and call.attempt.sent_us < new.started_us:
+                        self._cut_or_ended(call, AttemptEnd(io.Outcome.CUT))
+
+    # ---- what the module asks for
+
+    def now_us(self) -> int:
+        """Return the clock, which never runs backwards for the module."""
+        self._now_us = max(self._now_us, self.clock.now_us())
+        return self._now_us
+
+    def _feed(self, event: io.Event) -> None:
+        """Hand an event to the module and carry out its actions; events that these cause wait their turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self.controller.handle(self.now_us(), event)
+                except Exception as wrong:  # a fault in a decision costs one call, which its guard answers
+                    self.counts["module_faults"] += 1
+                    self.log("module fault", told=type(event).__name__, error=repr(wrong))
+                    continue
+                for action in actions:
+                    self._carry_out(action)
+        finally:
+            self._busy = False
+
+    def _carry_out(self, action: io.Action) -> None:
+        match action:
+            case io.SetUp(name, peer, timeout_us):
+                self._set_up(name, peer, self.now_us() + timeout_us)
+            case io.Refuse(name, wait_us):
+                if (call := self._open(name)) is not None:
+                    self._answer(call, Final.REFUSED, wait_us)
+            case io.Fail(name):
+                if (call := self._open(name)) is not None:
+                    self._answer(call, Final.FAILED)
+            case io.CallOff(name, number):
+                call = self._open(name)
+                if call is not None and call.attempt is not None and call.attempt.number == number:
+                    self._give_up(call, io.Outcome.CALLED_OFF, settled=False)
+            case io.SetTimer(token, at_us):
+                self.clock.at(at_us, lambda: self._feed(io.TimerDue(token)))
+            case io.Probe(peer):
+                self.counts["probes_sent"] += 1
+                self.peers.probe(peer)
+            case io.Log(text):
+                self.log("module", text=text)
+            case io.WatchRoster() | io.FetchRoster() | io.TellPeers():
+                pass  # the bulletin is always read, and routers have no way to talk to each other
+
+    def _set_up(self, name: str, peer: str, deadline_us: int) -> None:
+        call = self._open(name)
+        if call is None:
+            return
+        number, now = call.attempts, self.now_us()
+        call.attempts += 1
+        deadline_us = min(deadline_us, call.request.deadline_us - ATTEMPT_MARGIN_US)
+        entry = self.roster.get(peer)
+        free = self.free.get(peer)
+        no_circuit = free is not None and free < call.request.width
+        if (call.attempt is not None or number >= self.settings.max_attempts or now < call.not_before_us
+                or entry is None or entry.readiness is not io.Readiness.READY or deadline_us <= now
+                or no_circuit):
+            self.counts["attempts_moot_here"] += 1
+            cause = io.Cause.NO_CIRCUIT if no_circuit else io.Cause.NONE
+            self._feed(io.AttemptEnded(name, number, peer, io.Outcome.NOT_SENT, 0, False, cause))
+            return
+        call.attempt = attempt = Attempt(number, peer, now)
+        self.at_peer.setdefault(peer, {})[name] = call
+        self.counts["attempts_sent"] += 1
+        attempt.timer = self.clock.at(deadline_us, lambda: self._timed_out(call, attempt))
+        self.peers.set_up(peer, call.request, deadline_us)
+
+    # ---- a call's and an attempt's end
+
+    def _open(self, name: str) -> Call | None:
+        call = self.calls.get(name)
+        return None if call is None or call.standing else call
+
+    def _at(self, peer: str, name: str) -> Call | None:
+        return self.at_peer.get(peer, {}).get(name)
+
+    def _timed_out(self, call: Call, attempt: Attempt) -> None:
+        if call.attempt is attempt and not call.standing:
+            self._give_up(call, io.Outcome.TIMEOUT, settled=False)
+
+    def _overdue(self, call: Call) -> None:
+        """Refuse what the module has left unanswered: guards the one answer against its faults."""
+        if self.calls.get(call.request.call) is not call or call.standing:
+            return
+        self.counts["answers_by_guard"] += 1
+        self._answer(call, Final.REFUSED)
+        self._feed(io.CallerGone(call.request.call))
+        if call.attempt is not None:
+            self._give_up(call, io.Outcome.TIMEOUT, settled=True)
+
+    def _give_up(self, call: Call, outcome: io.Outcome, settled: bool) -> None:
+        if call.attempt is not None:
+            self.peers.give_up(call.attempt.peer, call.request.call)
+            self._attempt_over(call, AttemptEnd(outcome), settled)
+
+    def _attempt_over(self, call: Call, end: AttemptEnd, settled: bool) -> None:
+        attempt, call.attempt = call.attempt, None
+        if attempt is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._leave(attempt.peer, call.request.call)
+        if end.load.free is not None:
+            self.free[attempt.peer] = end.load.free
+        self.counts["attempts_" + end.outcome.value.replace(" ", "_")] += 1
+        now = self.now_us()
+        if end.outcome in UNCERTAIN:
+            call.not_before_us = now + self.settings.release_us
+        self._feed(io.AttemptEnded(call.request.call, attempt.number, attempt.peer, end.outcome,
+                                   now - attempt.sent_us, settled, end.cause, 0, end.load))
+
+    def _leave(self, peer: str, name: str) -> None:
+        here = self.at_peer.get(peer)
+        if here is not None:
+            here.pop(name, None)
+            if not here:
+                del self.at_peer[peer]
+
+    def _cut_or_ended(self, call: Call, end: AttemptEnd) -> None:
+        """A call that stood is over by the peer's doing: release it towards its caller."""
+        call.caller.released(call.request.call, NORMAL if end.outcome is io.Outcome.OK else CUT)
+        self._over(call, end)
+
+    def _over(self, call: Call, end: AttemptEnd) -> None:
+        ended = end.outcome is io.Outcome.OK
+        self.counts["calls_ended" if ended else "calls_cut"] += 1
+        self._note(call, "ended" if ended else "cut")
+        self.calls.pop(call.request.call, None)
+        self._attempt_over(call, end, settled=True)
+
+    def _answer(self, call: Call, final: Final, wait_us: int = 0) -> None:
+        """Give the one final answer, if it is not a call that stands."""
+        self._finish(call, final)
+        if final is Final.REFUSED:
+            call.caller.refused(call.request.call, wait_us)
+        else:
+            call.caller.failed(call.request.call)
+
+    def _finish(self, call: Call, final: Final) -> None:
+        self._stop(call)
+        self.calls.pop(call.request.call, None)
+        self.counts["final_" + final.value.replace(" ", "_")] += 1
+        self._note(call, final.value)
+
+    def _stop(self, call: Call) -> None:
+        """No time-out runs for a call that is answered."""
+        if call.guard is not None:
+            call.guard.cancel()
+            call.guard = None
+        if call.attempt is not None and call.attempt.timer is not None:
+            call.attempt.timer.cancel()
+
+    def _note(self, call: Call, event: str) -> None:
+        request = call.request
+        self.record(Record(request.call, self.now_us(), event, request.service_name, request.number,
+                           request.dest, request.transit, call.attempts,
+                           call.attempt.peer if call.attempt else ""))
--- /dev/null
+++ b/astertrack/wire/common.py
@@ -0,0 +1,48 @@
+"""What the state machines share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LIMIT = 16 * 1024  # octets of one message, on every wire
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """What came cannot be read: the last event of its connection, which is to be closed."""
+
+    reason: str
+
+
+class Unreadable(Exception):
+    """Raised inside a state machine, which turns it into Malformed."""
+
+
+def text(raw: bytes) -> str:
+    """Decode UTF-8, or say that it is not."""
+    try:
+        return raw.decode("utf-8")
+    except UnicodeDecodeError:
+        raise Unreadable("not UTF-8") from None
+
+
+def whole(raw: str, name: str, least: int = 0, most: int = 2**53) -> int:
+    """Read a whole number of plain digits: int() would take signs, spaces and underscores, too."""
+    digits = raw.removeprefix("-")
+    if not digits.isascii() or not digits.isdigit() or len(digits) > 16 or not least <= int(raw) <= most:
+        raise Unreadable(f"{name}: not a whole number from {least} to {most}")
+    return int(raw)
+
+
+def figures(raw: str) -> dict[str, float]:
+    """Read 'name:value;name:value'; a value that is no finite number is left out."""
+    read = {}
+    for part in raw.split(";"):
+        name, _, value = part.partition(":")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if abs(number) < 1e15:  # neither infinite nor NaN
+            read[name.strip()] = number
+    return read
--- /dev/null
+++ b/astertrack/wire/peer.py
@@ -0,0 +1,177 @@
+"""The binary messages between call routers and peers.
+
+message = length:2 type:1 call:8 parameters, parameter = code:1 length:2 value; big-endian. Stream serves
+either end; read_event tells what a peer's message means.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, figures, text
+
+
+class Type(IntEnum):
+    """Types of message."""
+
+    SET_UP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    RELEASE_HEARD = 16
+    GROUP_STATE = 43
+    TEST = 52
+    TEST_RESULT = 53
+
+
+class Code(IntEnum):
+    """Codes of parameters."""
+
+    CLASS = 1
+    WAIT = 3
+    NUMBER = 9
+    NOTE = 15
+    REPORT = 19
+    CAUSE = 29
+    DESCRIPTION = 31
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message; call is 16 hex digits."""
+
+    type: int
+    call: str
+    parameters: dict[int, bytes] = field(default_factory=dict)
+
+
+def encode(message: Message) -> bytes:
+    """Put a message together."""
+    body = bytearray((message.type,)) + bytes.fromhex(message.call)
+    for code, value in message.parameters.items():
+        body += struct.pack(">BH", code, len(value)) + value
+    if len(body) + 2 > LIMIT:
+        raise ValueError("message too long")
+    return struct.pack(">H", len(body)) + bytes(body)
+
+
+class Stream:
+    """Cuts what comes on one connection into messages, at any split of the bytes."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self.broken = False
+
+    def receive(self, data: bytes) -> list[Message | Malformed]:
+        """Take bytes; return the messages that they complete."""
+        events: list[Message | Malformed] = []
+        if self.broken:
+            return events
+        self._buffer += data
+        at = 0
+        try:
+            while len(self._buffer) - at >= 2:
+                length = int.from_bytes(self._buffer[at:at + 2])
+                if length + 2 > LIMIT:
+                    raise Unreadable("message too long")
+                if length < 9:
+                    raise Unreadable("message too short")
+                if len(self._buffer) - at < 2 + length:
+                    break
+                events.append(self._message(bytes(self._buffer[at + 2:at + 2 + length])))
+                at += 2 + length
+        except Unreadable as wrong:
+            self.broken = True
+            self._buffer.clear()
+            events.append(Malformed(str(wrong)))
+        del self._buffer[:at]
+        return events
+
+    @staticmethod
+    def _message(body: bytes) -> Message:
+        parameters: dict[int, bytes] = {}
+        at = 9
+        while at < len(body):
+            if at + 3 > len(body):
+                raise Unreadable("a parameter that is cut off")
+            code, length = struct.unpack_from(">BH", body, at)
+            at += 3
+            if at + length > len(body):
+                raise Unreadable("a parameter longer than its message")
+            parameters.setdefault(code, body[at:at + length])
+            at += length
+        return Message(body[0], body[1:9].hex(), parameters)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The call stands."""
+
+    call: str
+    description: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """An attempt has ended, or a call that stood."""
+
+    call: str
+    cause: int
+    note: str
+    report: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Tested:
+    """A test was answered."""
+
+    call: str
+    passed: bool
+    report: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    """The state of the group towards this peer."""
+
+    report: dict[str, float]
+
+
+Event = Answered | Released | Tested | GroupState
+
+
+def read_event(message: Message) -> Event | None:
+    """Say what a peer's message means; None where it means nothing to a call router."""
+    parameters = message.parameters
+    report = figures(text(parameters.get(Code.REPORT, b"")))
+    cause = parameters.get(Code.CAUSE)
+    if message.type == Type.ANSWER:
+        return Answered(message.call, parameters.get(Code.DESCRIPTION, b""))
+    if message.type in (Type.RELEASE, Type.TEST_RESULT) and (cause is None or len(cause) != 1):
+        raise Unreadable("a release or test result without a cause of one byte")
+    if message.type == Type.RELEASE and cause:
+        return Released(message.call, cause[0], text(parameters.get(Code.NOTE, b"")), report)
+    if message.type == Type.TEST_RESULT and cause:
+        return Tested(message.call, cause[0] == 1, report)
+    if message.type == Type.GROUP_STATE:
+        return GroupState(report)
+    return None
+
+
+def set_up(call: str, tier: str, number: str, wait_ms: int, description: bytes) -> bytes:
+    """A set-up."""
+    return encode(Message(Type.SET_UP, call, {
+        Code.CLASS: tier.encode(), Code.WAIT: str(wait_ms).encode(), Code.NUMBER: number.encode(),
+        Code.DESCRIPTION: description}))
+
+
+def release(call: str, cause: int) -> bytes:
+    """The end of a set-up (cause 16) or of a call that stands."""
+    return encode(Message(Type.RELEASE, call, {Code.CAUSE: bytes((cause,))}))
+
+
+def test(call: str) -> bytes:
+    """A test that asks for a report."""
+    return encode(Message(Type.TEST, call, {Code.CAUSE: b"\1"}))
--- /dev/null
+++ b/astertrack/wire/sip.py
@@ -0,0 +1,246 @@
+"""The callers' side of the platform's protocol: a small part of SIP over TCP (RFC 3261).
+
+Stream cuts bytes into messages, and serves either end. Server is what a call router knows of one connection
+from callers: which set-ups are open on it, and how to answer them.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+
+CALL_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
+REASONS = {100: "Trying", 200: "OK", 480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist",
+           487: "Request Terminated", 500: "Server Internal Error", 501: "Not Implemented",
+           503: "Service Unavailable"}
+ECHOED = ("via", "from", "to", "call-id", "cseq")
+CAUSE = re.compile(r"cause\s*=\s*([0-9]{1,3})", re.ASCII)
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A request (method and uri) or a response (status); header names are lower-case, the first of each."""
+
+    method: str
+    uri: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Stream:
+    """Cuts what comes on one connection into messages, at any split of the bytes."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._scanned = 0
+        self.broken = False
+
+    def receive(self, data: bytes) -> list[Message | Malformed]:
+        """Take bytes; return the messages that they complete."""
+        events: list[Message | Malformed] = []
+        if self.broken:
+            return events
+        self._buffer += data
+        try:
+            while (message := self._next()) is not None:
+                events.append(message)
+        except Unreadable as wrong:
+            self.broken = True
+            self._buffer.clear()
+            events.append(Malformed(str(wrong)))
+        return events
+
+    def _next(self) -> Message | None:
+        while self._buffer[:2] == b"\r\n":  # keep-alives between messages (RFC 5626)
+            del self._buffer[:2]
+        end = self._buffer.find(b"\r\n\r\n", max(0, self._scanned - 3))
+        if end < 0:
+            self._scanned = len(self._buffer)
+            if self._scanned > LIMIT:
+                raise Unreadable("head too long")
+            return None
+        if end + 4 > LIMIT:
+            raise Unreadable("head too long")
+        first, headers = self._head(text(bytes(self._buffer[:end])))
+        length = whole(headers.get("content-length", "missing"), "Content-Length", 0, LIMIT)
+        if end + 4 + length > LIMIT:
+            raise Unreadable("message too long")
+        if len(self._buffer) < end + 4 + length:
+            self._scanned = end + 3
+            return None
+        body = bytes(self._buffer[end + 4:end + 4 + length])
+        del self._buffer[:end + 4 + length]
+        self._scanned = 0
+        return self._message(first, headers, body)
+
+    @staticmethod
+    def _head(head: str) -> tuple[str, dict[str, str]]:
+        first, *lines = head.split("\r\n")
+        headers: dict[str, str] = {}
+        last = ""
+        for line in lines:
+            if line[:1] in (" ", "\t"):  # a folded line goes on with the one before
+                if not last:
+                    raise Unreadable("a folded line with nothing before it")
+                headers[last] += " " + line.strip()
+                continue
+            name, colon, value = line.partition(":")
+            last = name.strip().lower()
+            if not colon or not last or any(ord(c) < 32 for c in line if c != "\t"):
+                raise Unreadable("a header without a name, or with control characters")
+            if last == "content-length" and headers.get(last, value.strip()) != value.strip():
+                raise Unreadable("two Content-Lengths that differ")
+            headers.setdefault(last, value.strip())
+        return first, headers
+
+    @staticmethod
+    def _message(first: str, headers: dict[str, str], body: bytes) -> Message:
+        words = first.split(" ", 2)
+        if words[0] == "SIP/2.0" and len(words) >= 2:
+            return Message("", "", whole(words[1], "status", 100, 699), headers, body)
+        if len(words) != 3 or words[2] != "SIP/2.0" or not words[0].isalpha() or not words[1]:
+            raise Unreadable("neither a request nor a status line")
+        return Message(words[0], words[1], 0, headers, body)
+
+
+def encode(first: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
+    """Put a message together."""
+    lines = [first, *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """A call offered."""
+
+    call: str
+    number: str
+    tier: str
+    wait_ms: int
+    attrs: str
+    description: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The caller gives up a set-up."""
+
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class HungUp:
+    """The caller releases a call that stands."""
+
+    call: str
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """The caller has seen the final answer."""
+
+    call: str
+
+
+Event = SetUp | GivenUp | HungUp | Acknowledged | Malformed
+
+
+@dataclass(slots=True)
+class Server:
+    """One connection from callers: bytes in by receive, bytes out by take."""
+
+    open: dict[str, dict[str, str]] = field(default_factory=dict)  # headers of set-ups not answered, by call
+    _stream: Stream = field(default_factory=Stream)
+    _out: bytearray = field(default_factory=bytearray)
+
+    def take(self) -> bytes:
+        """Return what is to be written, once."""
+        out = bytes(self._out)
+        self._out.clear()
+        return out
+
+    def receive(self, data: bytes) -> list[Event]:
+        """Take bytes; return what the callers did. Tests are answered here."""
+        events: list[Event] = []
+        for message in self._stream.receive(data):
+            if isinstance(message, Malformed):
+                events.append(message)
+                continue
+            try:
+                event = self._event(message)
+            except Unreadable as wrong:
+                self._stream.broken = True
+                events.append(Malformed(str(wrong)))
+                break
+            if event is not None:
+                events.append(event)
+        return events
+
+    def _event(self, message: Message) -> Event | None:
+        if message.status:
+            return None  # a response to a release of ours
+        if message.method == "OPTIONS":
+            self._respond(message.headers, 200)
+            return None
+        if message.method == "NOTIFY":
+            return None
+        call = message.headers.get("call-id", "")
+        if not CALL_ID.fullmatch(call):
+            raise Unreadable("Call-ID: not 16 hex digits")
+        if message.method == "INVITE":
+            return self._invite(call, message)
+        if message.method == "CANCEL":
+            self._respond(message.headers, 200)
+            return GivenUp(call)
+        if message.method == "BYE":
+            self._respond(message.headers, 200)
+            cause = CAUSE.search(message.headers.get("reason", ""))
+            return HungUp(call, min(int(cause[1]), 127) if cause else 16)
+        if message.method == "ACK":
+            return Acknowledged(call)
+        self._respond(message.headers, 501)
+        return None
+
+    def _invite(self, call: str, message: Message) -> Event | None:
+        scheme, _, address = message.uri.partition(":")
+        if scheme != "sip":
+            raise Unreadable("not a sip: address")
+        wait = whole(message.headers.get("x-deadline", "missing"), "X-Deadline", 0, 10**9)
+        if call in self.open:
+            return None  # the same set-up again on the same connection: its answer is still to come
+        self.open[call] = {name: message.headers[name] for name in ECHOED if name in message.headers}
+        return SetUp(call, address.partition("@")[0], message.headers.get("x-tier", ""), wait,
+                     message.headers.get("x-attrs", ""), message.body)
+
+    def answer(self, call: str, description: bytes) -> bool:
+        """Answer a set-up: the call stands. False if it is not open here."""
+        return self._final(call, 200, body=description)
+
+    def refuse(self, call: str, status: int, cooldown_ms: int | None = None) -> bool:
+        """Refuse a set-up, or say that it has failed."""
+        more = [] if cooldown_ms is None else [("X-Cooldown", str(cooldown_ms))]
+        return self._final(call, status, more)
+
+    def release(self, call: str, cause: int) -> None:
+        """Release a call that stands, whichever connection it came on."""
+        self._out += encode(f"BYE sip:{call}@net SIP/2.0", [
+            ("Via", "SIP/2.0/TCP router"), ("Call-ID", call), ("CSeq", "2 BYE"),
+            ("Reason", f"Q.850;cause={cause}")])
+
+    def _final(self, call: str, status: int, more: list[tuple[str, str]] | None = None,
+               body: bytes = b"") -> bool:
+        headers = self.open.pop(call, None)
+        if headers is None:
+            return False
+        self._respond(headers, status, more, body)
+        return True
+
+    def _respond(self, headers: dict[str, str], status: int, more: list[tuple[str, str]] | None = None,
+                 body: bytes = b"") -> None:
+        names = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
+        echoed = [(names[name], headers[name]) for name in ECHOED if name in headers]
+        self._out += encode(f"SIP/2.0 {status} {REASONS[status]}", echoed + (more or []), body)
--- /dev/null
+++ b/astertrack/wire/sse.py
@@ -0,0 +1,121 @@
+"""The bulletin's wire: an HTTP/1.1 response that holds server-sent events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+
+LIST_LIMIT = 64 * LIMIT  # octets of one event: the first holds the whole list
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSentEvent:
+    """One event."""
+
+    id: str
+    data: str
+
+
+def get(path: str, host: str, last_id: str) -> bytes:
+    """The request for the events after last_id."""
+    return (f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
+            f"Last-Event-ID: {last_id}\r\nCache-Control: no-store\r\n\r\n").encode()
+
+
+class Client:
+    """The events of one response, whether it is sent in chunks or until the connection ends."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._body = bytearray()
+        self._lines = bytearray()
+        self._headed = self._chunked = self.ended = False
+        self._left = -1  # octets of the chunk being read; -1: its length comes next
+        self._id = ""
+        self._data: list[str] = []
+        self._size = 0
+
+    def receive(self, data: bytes) -> list[ServerSentEvent | Malformed]:
+        """Take bytes; return the events that they complete."""
+        events: list[ServerSentEvent | Malformed] = []
+        if self.ended:
+            return events
+        self._buffer += data
+        try:
+            if not self._headed and not self._head():
+                return events
+            if self._chunked:
+                self._unchunk()
+            else:
+                self._body += self._buffer
+                self._buffer.clear()
+            self._read(events)
+        except Unreadable as wrong:
+            self.ended = True
+            events.append(Malformed(str(wrong)))
+        return events
+
+    def _head(self) -> bool:
+        end = self._buffer.find(b"\r\n\r\n")
+        if end > LIMIT or (end < 0 and len(self._buffer) > LIMIT):
+            raise Unreadable("head too long")
+        if end < 0:
+            return False
+        first, *lines = text(bytes(self._buffer[:end])).split("\r\n")
+        words = first.split(" ")
+        if not words[0].startswith("HTTP/1.") or words[1:2] != ["200"]:
+            raise Unreadable("no 200 from the bulletin")
+        for line in lines:
+            name, _, value = line.partition(":")
+            if name.strip().lower() == "transfer-encoding":
+                self._chunked = value.strip().lower() == "chunked"
+        del self._buffer[:end + 4]
+        self._headed = True
+        return True
+
+    def _unchunk(self) -> None:
+        while self._buffer:
+            if self._left < 0:
+                end = self._buffer.find(b"\r\n")
+                if end < 0:
+                    if len(self._buffer) > 64:
+                        raise Unreadable("no length of a chunk")
+                    return
+                size = bytes(self._buffer[:end]).split(b";")[0].strip()
+                if not 0 < len(size) <= 6 or size.strip(b"0123456789abcdefABCDEF"):
+                    raise Unreadable("the length of a chunk is no number")
+                self._left = int(size, 16) + 2  # with the end of line behind it
+                del self._buffer[:end + 2]
+                if self._left == 2:
+                    self.ended = True
+                    return
+            piece = self._buffer[:self._left]
+            self._left -= len(piece)
+            del self._buffer[:len(piece)]
+            data = max(0, len(piece) - max(0, 2 - self._left))
+            self._body += piece[:data]
+            self._left = self._left or -1
+
+    def _read(self, events: list[ServerSentEvent | Malformed]) -> None:
+        *lines, rest = bytes(self._body).replace(b"\r\n", b"\n").split(b"\n")
+        self._body = bytearray(rest)
+        if len(rest) > LIST_LIMIT:
+            raise Unreadable("event too long")
+        for raw in lines:
+            line = text(raw)
+            if not line:
+                if self._data:
+                    events.append(ServerSentEvent(self._id, "\n".join(self._data)))
+                self._data, self._size = [], 0
+                continue
+            name, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "id":
+                whole(value, "id")
+                self._id = value
+            elif name == "data":
+                self._data.append(value)
+                self._size += len(value)
+                if self._size > LIST_LIMIT:
+                    raise Unreadable("event too long")
