Search SIP heads by one expression: the fullest router no longer loses most calls

A profile of 12 s put a third of the fullest router's time into a per-character test of header lines (4.2 million calls), and showed reads starving timers: 219 reads of 48 ms each, 5 turns of the timer queue. Ruled out: the decision module (2.3 of 12 s). CPU is still near a core.

--- a/astertrack/wire/common.py
+++ b/astertrack/wire/common.py
@@ -18,7 +18,7 @@
     """Raised inside a state machine, which turns it into Malformed."""
 
 
-def text(raw: bytes) -> str:
+def text(raw: bytes | bytearray) -> str:
     """Decode UTF-8, or say that it is not."""
     try:
         return raw.decode("utf-8")
--- a/astertrack/wire/sip.py
+++ b/astertrack/wire/sip.py
@@ -16,6 +16,7 @@
            487: "Request Terminated", 500: "Server Internal Error", 501: "Not Implemented",
            503: "Service Unavailable"}
 ECHOED = ("via", "from", "to", "call-id", "cseq")
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")  # what no header may hold; a search costs less than a loop
 CAUSE = re.compile(r"cause\s*=\s*([0-9]{1,3})", re.ASCII)
 
 
@@ -64,7 +65,7 @@
             return None
         if end + 4 > LIMIT:
             raise Unreadable("head too long")
-        first, headers = self._head(text(bytes(self._buffer[:end])))
+        first, headers = self._head(text(self._buffer[:end]))
         length = whole(headers.get("content-length", "missing"), "Content-Length", 0, LIMIT)
         if end + 4 + length > LIMIT:
             raise Unreadable("message too long")
@@ -79,6 +80,8 @@
     @staticmethod
     def _head(head: str) -> tuple[str, dict[str, str]]:
         first, *lines = head.split("\r\n")
+        if CONTROL.search(head.replace("\r\n", "")):
+            raise Unreadable("control characters in a head")
         headers: dict[str, str] = {}
         last = ""
         for line in lines:
@@ -88,12 +91,11 @@
                 headers[last] += " " + line.strip()
                 continue
             name, colon, value = line.partition(":")
-            last = name.strip().lower()
-            if not colon or not last or any(ord(c) < 32 for c in line if c != "\t"):
-                raise Unreadable("a header without a name, or with control characters")
-            if last == "content-length" and headers.get(last, value.strip()) != value.strip():
+            last, value = name.rstrip().lower(), value.strip()
+            if not colon or not last:
+                raise Unreadable("a header without a name")
+            if headers.setdefault(last, value) != value and last == "content-length":
                 raise Unreadable("two Content-Lengths that differ")
-            headers.setdefault(last, value.strip())
         return first, headers
 
     @staticmethod
--- a/ospreylug/logic.py
+++ b/ospreylug/logic.py
@@ -172,7 +172,7 @@
     """One call in hand."""
 
     __slots__ = ("aim_us", "attempt", "deadline_us", "doubt", "doubt_us", "kept", "late", "not_before_us",
-                 "offer", "over", "sent_us", "service", "taken_us", "tried", "via")
+                 "offer", "over", "sent_us", "service", "taken_us", "tried", "via", "worth")
 
     def __init__(self, offer: io.CallOffered, service: io.ServiceClass, now_us: int) -> None:
         self.offer, self.service, self.taken_us, self.deadline_us = offer, service, now_us, offer.deadline_us
@@ -185,6 +185,7 @@
         self.late = False  # a redial past the aim of its first try
         self.kept = 0.0  # circuits to be left free for classes worth clearly more
         self.over = False
+        self.worth = worth_a_circuit(service)
 
 
 class Controller:
@@ -432,15 +433,13 @@
 
     def _ahead(self, call: Call, far: Far) -> bool:
         """Whether a call worth more a circuit is held for this group: wide calls gather circuits there."""
-        worth = worth_a_circuit(call.service)
-        held = self.held.get(far.entry.number, ())
-        return any(worth_a_circuit(c.service) > worth and not c.over for c in held)
+        return any(c.worth > call.worth and not c.over for c in self.held.get(far.entry.number, ()))
 
     def _wake(self, far: Far | None) -> None:
         """Place the calls held for circuits to this exchange again, the most worth first."""
         held = self.held.get(far.entry.number, []) if far is not None else []
         while far is not None and (waiting := [call for call in held if not call.over]):
-            call = max(waiting, key=lambda c: worth_a_circuit(c.service))
+            call = max(waiting, key=lambda c: c.worth)
             reserve = RESERVE if call.offer.dest != far.entry.number else 0.0
             if not self._room(far, call.offer.width, call.kept, reserve):
                 break
