--- a/ospreylug/logic.py
+++ b/ospreylug/logic.py
@@ -171,8 +171,8 @@
 class Call:
     """One call in hand."""
 
-    __slots__ = ("aim_us", "attempt", "deadline_us", "doubt", "doubt_us", "kept", "late", "not_before_us",
-                 "offer", "over", "sent_us", "service", "taken_us", "tried", "via", "worth")
+    __slots__ = ("aim_us", "attempt", "deadline_us", "doubt", "doubt_us", "held_at", "kept", "late",
+                 "not_before_us", "offer", "over", "sent_us", "service", "taken_us", "tried", "via", "worth")
 
     def __init__(self, offer: io.CallOffered, service: io.ServiceClass, now_us: int) -> None:
         self.offer, self.service, self.taken_us, self.deadline_us = offer, service, now_us, offer.deadline_us
@@ -186,6 +186,7 @@
         self.kept = 0.0  # circuits to be left free for classes worth clearly more
         self.over = False
         self.worth = worth_a_circuit(service)
+        self.held_at = -1  # number of the exchange whose circuits it waits for
 
 
 class Controller:
@@ -212,7 +213,8 @@
         self.blocked: dict[tuple[int, int], tuple[int, int]] = {}  # (tandem, destination): rest's end, blocks
         holds = [s.hold_us for s in settings.classes if s.hold_us]
         self.rest_us = int(REST_HOLDS * (sum(holds) / len(holds) if holds else settings.cold_us))
-        self.held: dict[int, list[Call]] = {}  # by number of the exchange whose circuits they wait for
+        # Calls held: by number of the exchange whose circuits they wait for, then by worth, the oldest first.
+        self.held: dict[int, dict[float, dict[str, Call]]] = {}
         self.busy_until_us: dict[str, int] = {}  # called numbers found with all lines busy
         self.actions: list[Action] = []
         self.period_us: int | None = None  # when the present period ends
@@ -262,7 +264,6 @@
             far.settle(self.now_us)
             if Grade.HEAVY in (before, far.grade) and before is not far.grade:
                 self.actions.append(io.Log(f"exchange {far.entry.number}: {before.name} -> {far.grade.name}"))
-        self.held = {n: left for n, held in self.held.items() if (left := [c for c in held if not c.over])}
         self._settle_own()
         for number in list(self.held):
             self._wake(self.ready.get(number))
@@ -428,22 +429,34 @@
         if call.late or until <= self.now_us:
             self._refuse(call)
             return
-        self.held.setdefault(number, []).append(call)
+        call.held_at = number
+        self.held.setdefault(number, {}).setdefault(call.worth, {})[call.offer.call] = call
         self.actions.append(io.SetTimer(HELD + call.offer.call, until))
 
+    def _let_go(self, call: Call) -> None:
+        """The call is held no longer. Guards the CPU: each event of its group would look at it again."""
+        by_worth = self.held.get(call.held_at, {})
+        if (calls := by_worth.get(call.worth)) is not None:
+            calls.pop(call.offer.call, None)
+            if not calls:
+                del by_worth[call.worth]
+            if not by_worth:
+                del self.held[call.held_at]
+        call.held_at = -1
+
     def _ahead(self, call: Call, far: Far) -> bool:
         """Whether a call worth more a circuit is held for this group: wide calls gather circuits there."""
-        return any(c.worth > call.worth and not c.over for c in self.held.get(far.entry.number, ()))
+        held = self.held.get(far.entry.number)
+        return held is not None and max(held) > call.worth
 
     def _wake(self, far: Far | None) -> None:
         """Place the calls held for circuits to this exchange again, the most worth first."""
-        held = self.held.get(far.entry.number, []) if far is not None else []
-        while far is not None and (waiting := [call for call in held if not call.over]):
-            call = max(waiting, key=lambda c: c.worth)
+        while far is not None and (held := self.held.get(far.entry.number)):
+            call = next(iter(held[max(held)].values()))
             reserve = RESERVE if call.offer.dest != far.entry.number else 0.0
             if not self._room(far, call.offer.width, call.kept, reserve):
                 break
-            held.remove(call)
+            self._let_go(call)
             self._place(call)
             if call.via is None and not call.over:
                 break
@@ -599,12 +612,14 @@
         call = self.calls.get(name)
         if call is not None:
             call.over = True
+            self._let_go(call)
             if call.via is None:
                 del self.calls[name]
 
     def _refuse(self, call: Call) -> None:
         """Final answer: turned away, or failed where an attempt may have run and must stay single."""
         call.over = True
+        self._let_go(call)
         del self.calls[call.offer.call]
         service = call.service
         narrow = (service.repeatability is Repeatability.GUARDED
