Count set-ups on their way against the free circuits told; spread the cooldowns

Checked by its counters: peers tell each freed circuit a round trip late, so _wake sent every call held for it; and cooldowns to the period's end brought all refused callers back at one instant. Ruled out: lost messages (set-ups taken equal final answers plus calls in hand, in all three routers).

--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -9,7 +9,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from astertrack.core.model import (
     CUT,
@@ -27,8 +27,10 @@
 from ospreylug import interface as io
 from ospreylug.logic import Controller
 
-ATTEMPT_MARGIN_US = 15_000  # an attempt ends so long before its call's deadline: the answer is in time
-ANSWER_MARGIN_US = 5_000  # what is unanswered so long before its deadline, the router refuses itself
+# What is unanswered so long before its deadline, the router refuses itself. The deadline counts from when the
+# caller sent the last byte, and a busy router reads it late: margins of 15 and 5 ms lost calls.
+MARGIN_US = 100_000
+MARGIN_SHARE = 0.1  # of the time left, where that is less
 UNCERTAIN = (io.Outcome.TIMEOUT, io.Outcome.CUT, io.Outcome.CALLED_OFF)  # its release has to be awaited
 
 
@@ -48,6 +50,8 @@
 
     request: Request
     caller: Caller
+    taken_us: int
+    answer_by_us: int
     guard: Timer | None = None  # refuses the call should nothing else have answered it
     attempt: Attempt | None = None
     attempts: int = 0
@@ -66,6 +70,7 @@
         self.at_peer: dict[str, dict[str, Call]] = {}  # calls with an attempt out or standing, by peer
         self.roster: dict[str, io.Entry] = {}
         self.free: dict[str, float] = {}  # circuits free in the group to a peer, as last told
+        self.round_trip_us: dict[str, int] = {}  # shortest time in which a peer ended an attempt
         self.counts: Counter[str] = Counter()
         self._events: deque[io.Event] = deque()
         self._busy = False
@@ -78,13 +83,16 @@
         if request.call in self.calls:
             self.counts["offers_repeated"] += 1
             return False
-        call = self.calls[request.call] = Call(request, caller)
+        now = self.now_us()
+        left = request.deadline_us - now
+        margin = min(MARGIN_US, int(left * MARGIN_SHARE))
+        call = self.calls[request.call] = Call(request, caller, now, request.deadline_us - margin)
         self.counts["calls_in_transit" if request.transit else "calls_fresh"] += 1
-        if request.deadline_us - ANSWER_MARGIN_US <= self.now_us():
+        if left <= 0:
             self.counts["offers_expired"] += 1
             self._answer(call, Final.REFUSED)
             return True
-        call.guard = self.clock.at(request.deadline_us - ANSWER_MARGIN_US, lambda: self._overdue(call))
+        call.guard = self.clock.at(call.answer_by_us, lambda: self._overdue(call))
         self._feed(io.CallOffered(
             request.call, request.service, request.dest, request.number, request.deadline_us, request.width,
             request.tenant, request.transit, request.via, request.repeated, request.cut_before))
@@ -95,6 +103,9 @@
         call = self.calls.get(name)
         if call is None or call.standing:
             return False
+        now = self.now_us()
+        self.log("caller gave up", call=name, waited_ms=(now - call.taken_us) // 1000, attempts=call.attempts,
+                 left_ms=(call.request.deadline_us - now) // 1000)
         self._finish(call, Final.GIVEN_UP)
         self._feed(io.CallerGone(name))
         if call.attempt is not None:
@@ -140,6 +151,9 @@
         elif call.standing:
             self._cut_or_ended(call, end)
         else:
+            if call.attempt is not None and end.outcome is not io.Outcome.UNREACHABLE:
+                took = self.now_us() - call.attempt.sent_us
+                self.round_trip_us[peer] = min(took, self.round_trip_us.get(peer, took))
             self._attempt_over(call, end, settled=False)
 
     def peer_lost(self, peer: str) -> None:
@@ -151,9 +165,7 @@
     def group_state(self, peer: str, load: io.Load, ok: bool = True, delay_us: int = 0) -> None:
         """A peer told the state of the group towards it, or answered a probe."""
         if peer in self.roster:
-            if load.free is not None:
-                self.free[peer] = load.free
-            self._feed(io.GroupStatus(peer, ok, delay_us, load))
+            self._feed(io.GroupStatus(peer, ok, delay_us, self._as_of_now(peer, load)))
 
     def set_roster(self, change: io.RosterChange) -> None:
         """The bulletin told of peers."""
@@ -203,6 +215,23 @@
         finally:
             self._busy = False
 
+    def _as_of_now(self, peer: str, load: io.Load) -> io.Load:
+        """Take the circuits of set-ups that the peer had not seen off the free ones that it told.
+
+        Guards full groups: each circuit that frees is told a round trip late, and every call held for it
+        would be sent. Set-ups of the last round trip had not arrived when the report left.
+        """
+        if load.free is None:
+            return load
+        since = self.now_us() - self.round_trip_us.get(peer, 0)
+        unseen = 0.0
+        for call in reversed(self.at_peer.get(peer, {}).values()):
+            if call.attempt is None or call.attempt.sent_us <= since:
+                break
+            unseen += call.request.width
+        self.free[peer] = free = max(0.0, load.free - unseen)
+        return load if not unseen else replace(load, free=free)
+
     def _carry_out(self, action: io.Action) -> None:
         match action:
             case io.SetUp(name, peer, timeout_us):
@@ -233,7 +262,7 @@
             return
         number, now = call.attempts, self.now_us()
         call.attempts += 1
-        deadline_us = min(deadline_us, call.request.deadline_us - ATTEMPT_MARGIN_US)
+        deadline_us = min(deadline_us, call.answer_by_us)
         entry = self.roster.get(peer)
         free = self.free.get(peer)
         no_circuit = free is not None and free < call.request.width
@@ -285,14 +314,13 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._leave(attempt.peer, call.request.call)
-        if end.load.free is not None:
-            self.free[attempt.peer] = end.load.free
         self.counts["attempts_" + end.outcome.value.replace(" ", "_")] += 1
         now = self.now_us()
+        load = self._as_of_now(attempt.peer, end.load)
         if end.outcome in UNCERTAIN:
             call.not_before_us = now + self.settings.release_us
         self._feed(io.AttemptEnded(call.request.call, attempt.number, attempt.peer, end.outcome,
-                                   now - attempt.sent_us, settled, end.cause, 0, end.load))
+                                   now - attempt.sent_us, settled, end.cause, 0, load))
 
     def _leave(self, peer: str, name: str) -> None:
         here = self.at_peer.get(peer)
--- a/ospreylug/logic.py
+++ b/ospreylug/logic.py
@@ -633,8 +633,9 @@
         """When the caller should return: no state changes before the period's end, so no answer does.
 
         A redial past its aim stays away as long as callers honour. Guards the processors in overload, which
-        look at every redial; harm: some of its part worth is lost.
+        look at every redial; harm: some of its part worth is lost. Spread over a period, since callers who
+        were all told one instant come back at one instant.
         """
         most = self.settings.max_caller_wait_us if self.settings.callers_wait else 0
-        rest = (self.period_us or self.now_us) - self.now_us
-        return most if call.late else max(0, min(rest, most))
+        rest = (self.period_us or self.now_us) - self.now_us + self.random.random() * PERIOD_US
+        return most if call.late else max(0, min(int(rest), most))
