Add the WebSocket front: a call-control API on the same core, with destinations

Callers by WebSocket and servers speaking the same API pass through the router that SIP calls pass through. Both ends of the stand-ins' WebSocket are an independent library's.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -11,10 +11,13 @@
 from astertrack.config import Config
 from astertrack.core import Router
 from astertrack.core.model import Record
+from astertrack.net.apilink import ApiLink
 from astertrack.net.bulletin import Bulletin, read_event
 from astertrack.net.callers import CallerFront
 from astertrack.net.clock import ReactorClock
+from astertrack.net.links import Link
 from astertrack.net.peers import Endpoint, PeerLink, PeerTable
+from astertrack.net.websocket import CallFront
 from astertrack.wire.common import Unreadable
 from ospreylug import interface as io
 
@@ -35,12 +38,21 @@
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self._record)
         self.router.counts = self.counts
         self.front = CallerFront(self.router, config.classes, self.counts)
+        self.paths = {d.name: d.path for d in config.gateway.destinations}
+        self.destinations = [Endpoint(d.address, io.Entry(d.name, d.number, d.zone))
+                             for d in config.gateway.destinations]
+        self.call_front: CallFront | None = None
         self.ports: list[Any] = []
         self.stopping = False
 
-    def _link(self, endpoint: Endpoint) -> PeerLink:
-        link = PeerLink(endpoint.entry.exchange, endpoint.address, self.router, self.clock, self.counts,
-                        self.config.dial_us)
+    def _link(self, endpoint: Endpoint) -> Link:
+        name, dial_us = endpoint.entry.exchange, self.config.dial_us
+        link: Link
+        if name in self.paths:
+            link = ApiLink(name, endpoint.address, self.router, self.clock, self.counts, dial_us,
+                           path=self.paths[name])
+        else:
+            link = PeerLink(name, endpoint.address, self.router, self.clock, self.counts, dial_us)
         link.dial()
         return link
 
@@ -64,6 +76,12 @@
         self._roster(io.RosterKind.RESTORED, listed)
         self.ports.append(self.reactor.listenTCP(
             config.port, self.front, backlog=LISTEN_BACKLOG, interface=config.host))
+        if config.gateway.front is not None:
+            host, port = config.gateway.front
+            self.call_front = CallFront(self.router, self.clock, config.classes, self.counts,
+                                        config.gateway.path)
+            self.ports.append(self.reactor.listenTCP(
+                port, self.call_front, backlog=LISTEN_BACKLOG, interface=host))
         if config.bulletin:
             Bulletin(config.bulletin, config.known_last, config.zones, config.kinds, self.clock, self.counts,
                      lambda complete, changed: self._roster(
@@ -71,6 +89,8 @@
         log.info("serving", name=config.name, host=config.host, port=config.port, peers=len(listed))
 
     def _roster(self, kind: io.RosterKind, endpoints: list[Endpoint]) -> None:
+        if kind is not io.RosterKind.UPDATE:  # our own destinations are in every complete list
+            endpoints = [*(e for e in endpoints if e.entry.exchange not in self.paths), *self.destinations]
         for e in endpoints:
             log.info("peer", name=e.entry.exchange, number=e.entry.number, address=e.address,
                      state=e.entry.readiness.value, started_us=e.entry.started_us)
@@ -94,7 +114,9 @@
         if self.router.calls:
             self.clock.at(self.clock.now_us() + CHECK_US, self._finish)
         elif self.reactor.running:
-            self.reactor.stop()
+            for session in list(self.call_front.sessions) if self.call_front is not None else ():
+                session.go_away()
+            self.clock.at(self.clock.now_us() + CHECK_US, self.reactor.stop)
 
     def print_counts(self) -> None:
         """Print the counters, one line."""
--- a/astertrack/config.py
+++ b/astertrack/config.py
@@ -4,19 +4,44 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from ospreylug import interface as io
 from ospreylug.wirehost import WireError, read_settings
 
+GATEWAY = Path(__file__).resolve().parent.parent / "deploy" / "gateway.toml"
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why, in one line."""
 
 
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """A server that speaks the call-control API."""
+
+    name: str
+    address: str
+    path: str
+    number: int
+    zone: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """What our own file says; all off by default."""
+
+    front: tuple[str, int] | None = None
+    path: str = "/calls"
+    store: str = "off"
+    database: str = ""
+    destinations: tuple[Destination, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """A call router's configuration, read once."""
@@ -33,6 +58,7 @@
     bulletin: str
     known_last: int
     known: list[Any]  # the bulletin's events so far
+    gateway: Gateway = field(default_factory=Gateway)
 
 
 def split_address(address: object, name: str) -> tuple[str, int]:
@@ -43,6 +69,36 @@
     return host.strip("[]"), int(port)
 
 
+def read_gateway(path: Path, zones: list[str]) -> Gateway:
+    """Read our own file, or raise a ConfigError; without one, everything is off."""
+    try:
+        raw = tomllib.loads(path.read_text("utf-8"))
+    except FileNotFoundError:
+        return Gateway()
+    except (OSError, ValueError) as wrong:
+        raise ConfigError(f"{path.name}: {wrong}") from None
+    try:
+        front, store = raw.get("front", {}), raw.get("store", {})
+        listen = front.get("listen", "")
+        kind = store.get("kind", "off")
+        if kind not in ("off", "sqlite", "postgresql"):
+            raise ConfigError(f"{path.name}: store.kind: unknown value {kind!r}")
+        if kind != "off" and not store.get("database"):
+            raise ConfigError(f"{path.name}: store.database is missing")
+        destinations = []
+        for item in raw.get("destination", ()):
+            split_address(item["address"], f"{path.name}: destination.address")
+            zone = item.get("zone", "")
+            destinations.append(Destination(
+                str(item["name"]), item["address"], str(item.get("path", "/calls")), int(item["number"]),
+                zones.index(zone) if zone in zones else -1))
+        return Gateway(split_address(listen, f"{path.name}: front.listen") if listen else None,
+                       str(front.get("path", "/calls")), kind, str(store.get("database", "")),
+                       tuple(destinations))
+    except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+        raise ConfigError(f"{path.name}: {wrong!r}") from None
+
+
 def read_config(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the configuration, or raise a ConfigError."""
     path = environ.get("RELAY_CONFIG")
@@ -72,7 +128,9 @@
             settings=settings, classes=classes, zones=[str(zone) for zone in env.get("areas") or ()],
             kinds=[str(kind) for kind in env.get("kinds") or ()],
             dial_us=int(limits.get("dialTimeoutUs") or 500_000), bulletin=bulletin,
-            known_last=int(known["no"]), known=list(known["items"]))
+            known_last=int(known["no"]), known=list(known["items"]),
+            gateway=read_gateway(Path(environ.get("ASTERTRACK_GATEWAY") or GATEWAY),
+                                 [str(zone) for zone in env.get("areas") or ()]))
     except WireError as wrong:
         raise ConfigError(f"settings: {wrong}") from None
     except (KeyError, TypeError, ValueError, AttributeError) as wrong:
--- /dev/null
+++ b/astertrack/net/apilink.py
@@ -0,0 +1,145 @@
+"""Destinations that speak the call-control API over WebSocket: a call router is their client."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import structlog
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+
+from astertrack.core import NORMAL, AttemptEnd, Request
+from astertrack.net.base import Conversation
+from astertrack.net.links import Link
+from astertrack.wire import callapi as api
+from astertrack.wire import websocket as ws
+from astertrack.wire.common import Malformed
+from ospreylug import interface as io
+
+log = structlog.get_logger()
+REASONS = {"no-circuit": io.Cause.NO_CIRCUIT, "turned-back": io.Cause.CRANKBACK,
+           "far-processor-full": io.Cause.CRANKBACK_FULL, "processor-full": io.Cause.PROCESSOR_FULL,
+           "lines-busy": io.Cause.LINES_BUSY}
+
+
+class ApiConnection(Conversation):
+    """One socket to a destination."""
+
+    def __init__(self, link: ApiLink) -> None:
+        self.link = link
+        self.machine = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
+
+    def connectionMade(self) -> None:
+        """Twisted's hook: the connection is up; the socket is once the handshake is done."""
+        super().connectionMade()
+        self.machine.connect()
+        self.write(self.machine.take())
+        clock = self.link.clock
+        clock.at(clock.now_us() + self.link.dial_us, self._overdue)
+
+    def _overdue(self) -> None:
+        """Guards against a server that never shakes hands: nothing would dial again."""
+        if self.machine.state is ws.State.CONNECTING:
+            self.abort()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Twisted's hook: bytes came."""
+        for event in self.machine.receive(data):
+            match event:
+                case ws.Opened():
+                    self.link.connected(self)
+                case ws.Text(raw):
+                    self._text(raw)
+                case ws.Closed():
+                    self.close()
+                case Malformed(reason):
+                    self.link.counts["peer_malformed"] += 1
+                    log.warning("destination sent what cannot be read", peer=self.link.name, reason=reason)
+                    self.close()
+        self.write(self.machine.take())
+
+    def _text(self, raw: str) -> None:
+        try:
+            self.link.heard(api.read_reply(raw))
+        except api.BadMessage as wrong:
+            self.link.counts["peer_malformed"] += 1
+            log.warning("destination sent what cannot be read", peer=self.link.name, reason=wrong.reason)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Twisted's hook: the connection has ended."""
+        self.link.disconnected(self, reason)
+
+    def tell(self, message: api.Message) -> None:
+        """Send a message."""
+        self.machine.send(api.write(message))
+        self.write(self.machine.take())
+
+
+@dataclass(eq=False)
+class ApiLink(Link):
+    """The way to one destination."""
+
+    path: str = "/calls"
+
+    def converse(self) -> ApiConnection:
+        """Make the protocol of a new connection."""
+        return ApiConnection(self)
+
+    def _tell(self, message: api.Message) -> None:
+        if isinstance(self.connection, ApiConnection):
+            self.connection.tell(message)
+
+    def send_set_up(self, request: Request, deadline_us: int) -> None:
+        """Write a set-up; its deadline travels as the instant it is."""
+        self._tell(api.SetUp(request.call, request.service_name, request.number, request.dest,
+                             deadline_us // 1000, request.description.decode("utf-8", "replace"),
+                             request.width, request.dest != self.number(), again=request.cut_before))
+
+    def number(self) -> int:
+        """Return the exchange's number: a call for another one goes through it in transit."""
+        entry = self.router.roster.get(self.name)
+        return entry.number if entry is not None else -1
+
+    def send_release(self, call: str, cause: int, answered: bool) -> None:
+        """Write a cancel or a release: the API keeps them apart."""
+        self._tell(api.Release(call, cause) if answered else api.Cancel(call))
+
+    def probe(self) -> None:
+        """Answer for the socket: a ping tells nothing of a processor, so it is not sent."""
+        up = self.connection is not None
+        self.clock.at(self.clock.now_us(), lambda: self.router.group_state(self.name, io.Load(), ok=up))
+
+    def reset(self) -> None:
+        """A socket does not own the calls that stand: they are resumed, or found to be unknown."""
+
+    def resumed(self) -> None:
+        """Ask for what became of the calls that stand."""
+        for call, held in self.router.at_peer.get(self.name, {}).items():
+            if held.standing:
+                self._tell(api.Resume(call))
+
+    def heard(self, message: api.Message) -> None:
+        """Tell the core what the destination said."""
+        self.counts["peer_" + api.NAMES[type(message)]] += 1
+        match message:
+            case api.Answer(call, description):
+                self.open.discard(call)
+                self.router.answered(self.name, call, description.encode())
+            case api.Refused(call, _, reason):
+                self._ended(call, io.Outcome.TURNED_AWAY, REASONS.get(reason, io.Cause.NONE))
+            case api.Failed(call, reason):
+                self._ended(call, io.Outcome.NUMBER_FAULT, REASONS.get(reason, io.Cause.NONE))
+            case api.Cancelled(call):
+                self._ended(call, io.Outcome.CUT)
+            case api.Released(call, cause):
+                self._ended(call, io.Outcome.OK if cause == NORMAL else io.Outcome.CUT)
+            case api.Error(code, reason, call):
+                log.warning("destination sent an error", peer=self.name, code=code, reason=reason, call=call)
+                if call is not None:  # the call is not there, or never will be
+                    self._ended(call, io.Outcome.CUT if code == "unknown-call" else io.Outcome.NUMBER_FAULT)
+            case api.State(free, size, hold_back):
+                self.router.group_state(self.name, io.Load(free=free, size=size, hold_back=hold_back))
+
+    def _ended(self, call: str, outcome: io.Outcome, cause: io.Cause = io.Cause.NONE) -> None:
+        self.open.discard(call)
+        self.router.ended(self.name, call, AttemptEnd(outcome, cause))
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -1,30 +1,25 @@
-"""Connections to peers: one each, kept up while the peer is in service or holds calls of ours."""
+"""Peers that speak the platform's binary messages, and the table of all peers."""
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import Any, Protocol
 
 import structlog
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError, UserError
-from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from astertrack.core import CUT, NORMAL, AttemptEnd, Request, Router
+from astertrack.core import CUT, NORMAL, AttemptEnd, Request
 from astertrack.core.model import Timer
-from astertrack.net.base import Conversation, failed_as
-from astertrack.net.clock import ReactorClock
+from astertrack.net.base import Conversation
+from astertrack.net.links import Link
 from astertrack.wire import peer as wire
 from astertrack.wire.common import Malformed, Unreadable, figures
 from ospreylug import interface as io
 from ospreylug.wirehost import read_load
 
 log = structlog.get_logger()
-REDIAL_US = 500_000  # between dials to a peer that does not answer
 PROBE_US = 250_000  # a probe unanswered for so long has failed
 OUTCOMES = {34: io.Outcome.TURNED_AWAY, 17: io.Outcome.NUMBER_FAULT, 47: io.Outcome.NUMBER_FAULT,
             102: io.Outcome.NOT_SENT, CUT: io.Outcome.CUT, NORMAL: io.Outcome.OK}
@@ -41,22 +36,6 @@
     return read_load({FIELDS.get(name, name): value for name, value in figures(report).items()})
 
 
-class Link(Protocol):
-    """What every kind of peer offers."""
-
-    def set_up(self, request: Request, deadline_us: int) -> None:
-        """Send a set-up."""
-
-    def release(self, call: str, cause: int) -> None:
-        """Give up a set-up, or release a call that stands."""
-
-    def probe(self) -> None:
-        """Test the peer."""
-
-    def retire(self) -> None:
-        """The peer is gone: close once nothing needs it."""
-
-
 class PeerConnection(Conversation):
     """One connection to a peer."""
 
@@ -87,129 +66,29 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted's hook: the connection has ended."""
-        self.link.disconnected(self, clean=failed_as(reason, ConnectionDone))
-
-
-class Dialler(ClientFactory):
-    """One attempt to connect."""
-
-    noisy = False
-
-    def __init__(self, link: PeerLink) -> None:
-        self.link = link
-
-    def buildProtocol(self, addr: IAddress | None) -> PeerConnection:
-        """Twisted's hook for a connection that came up."""
-        return PeerConnection(self.link)
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Twisted's hook for one that did not."""
-        if not failed_as(reason, UserError):  # stopped by ourselves
-            self.link.dial_failed(refused=failed_as(reason, ConnectionRefusedError))
+        self.link.disconnected(self, reason)
 
 
 @dataclass(eq=False)
-class PeerLink:
-    """What is known of the way to one peer."""
+class PeerLink(Link):
+    """The way to a peer that speaks the platform's binary messages."""
 
-    name: str
-    address: str
-    router: Router
-    clock: ReactorClock
-    counts: Counter[str]
-    dial_us: int  # a connection not up after so long has failed
-    connection: PeerConnection | None = None
-    retired: bool = False
-    waiting: dict[str, tuple[Request, int]] = field(default_factory=dict)  # set-ups for when it is up
-    open: set[str] = field(default_factory=set)  # set-ups written on the connection and not ended
     tests: dict[str, tuple[int, Timer]] = field(default_factory=dict)
-    _dialling: Any = None
-    _redial: Timer | None = None
     _tests_made: int = 0
 
-    def dial(self) -> None:
-        """Connect, unless a connection is up or coming."""
-        if self.connection is not None or self._dialling is not None or not self.wanted():
-            return
-        host, _, port = self.address.rpartition(":")
-        self.counts["peer_dials"] += 1
-        self._dialling = self.clock.reactor.connectTCP(
-            host, int(port), Dialler(self), timeout=self.dial_us / 1e6)
-
-    def wanted(self) -> bool:
-        """Whether the connection serves a purpose: calls that stand are heard of on it."""
-        return not self.retired or bool(self.waiting) or self.name in self.router.at_peer
-
-    def connected(self, connection: PeerConnection) -> None:
-        """The connection is up: send what waits for it."""
-        self.connection, self._dialling = connection, None
-        self.counts["peer_connections"] += 1
-        waiting, self.waiting = self.waiting, {}
-        for request, deadline_us in waiting.values():
-            self.set_up(request, deadline_us)
-
-    def dial_failed(self, refused: bool) -> None:
-        """Nothing runs there, or nothing answers: what waited never left."""
-        self._dialling = None
-        self.counts["peer_dials_refused" if refused else "peer_dials_timed_out"] += 1
-        waiting, self.waiting = self.waiting, {}
-        if refused:
-            self.router.peer_lost(self.name)  # no process, so none of its calls
-        for call in waiting:
-            self.router.ended(self.name, call, AttemptEnd(io.Outcome.UNREACHABLE))
-        self._dial_later()
-
-    def disconnected(self, connection: PeerConnection, clean: bool) -> None:
-        """The connection has ended, and with it the set-ups that were open on it."""
-        if connection is not self.connection:
-            return
-        self.connection = None
-        self.counts["peer_closes" if clean else "peer_resets"] += 1
-        opened, self.open = self.open, set()
-        if not clean:  # a process that dies resets its connections and cuts its calls
-            log.warning("peer reset its connection", peer=self.name,
-                        calls=len(self.router.at_peer.get(self.name, ())))
-            self.router.peer_lost(self.name)
-        for call in opened:
-            self.router.ended(self.name, call, AttemptEnd(io.Outcome.CUT))
-        if clean:
-            self.dial()  # what concerns calls that stand is told on the next connection
-        else:
-            self._dial_later()
-
-    def _dial_later(self) -> None:
-        if self._redial is None and self.wanted():
-            def again() -> None:
-                self._redial = None
-                self.dial()
-            self._redial = self.clock.at(self.clock.now_us() + REDIAL_US, again)
-
-    def retire(self) -> None:
-        """The peer has left the list: its connection is closed once no call needs it."""
-        self.retired = True
-        if self.connection is not None and not self.wanted():
-            self.connection.close()
-
-    def set_up(self, request: Request, deadline_us: int) -> None:
-        """Send a set-up, once the connection is up."""
-        if self.connection is None:
-            self.waiting[request.call] = (request, deadline_us)
-            self.dial()
-            return
+    def converse(self) -> PeerConnection:
+        """Make the protocol of a new connection."""
+        return PeerConnection(self)
+
+    def send_set_up(self, request: Request, deadline_us: int) -> None:
+        """Write a set-up; the wire tells the time left, so it is worked out last."""
         wait_ms = max(1, (deadline_us - self.clock.now_us()) // 1000)
-        self.counts["peer_set_ups_sent"] += 1
-        self.open.add(request.call)
         self._write(wire.set_up(request.call, request.service_name, request.number, wait_ms,
                                 request.description))
 
-    def release(self, call: str, cause: int) -> None:
-        """Give up a set-up, or release a call that stands."""
-        if self.waiting.pop(call, None) is not None:
-            return
-        self.open.discard(call)
-        if self.connection is not None:
-            self.counts["peer_releases_sent"] += 1
-            self._write(wire.release(call, cause))
+    def send_release(self, call: str, cause: int, answered: bool) -> None:
+        """Write a release: one message for both meanings."""
+        self._write(wire.release(call, cause))
 
     def probe(self) -> None:
         """Test the peer."""
--- /dev/null
+++ b/astertrack/net/websocket.py
@@ -0,0 +1,240 @@
+"""The second front: callers who speak the call-control API over WebSocket (docs/call-control.md).
+
+No socket owns a call. A set-up that is not answered is given up when its socket closes; a call that stands
+goes on, and whoever resumes it is told of its end.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+import structlog
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from astertrack.core import Request, Router
+from astertrack.net.base import Conversation
+from astertrack.net.clock import ReactorClock
+from astertrack.wire import callapi as api
+from astertrack.wire import websocket as ws
+from astertrack.wire.common import Malformed
+
+log = structlog.get_logger()
+KEPT_US = 60_000_000  # how long the end of a call is remembered for whoever asks
+SWEEP_US = 5_000_000  # how often what is too old is forgotten
+PING_US = 20_000_000  # a silent socket is asked for a sign of life
+SILENT_US = 60_000_000  # and given up after so long
+CONNECTIONS_MOST = 256
+FINAL = (api.Refused, api.Failed, api.Cancelled, api.Released)
+
+
+@dataclass(slots=True, eq=False)
+class ApiCall:
+    """A call as this front knows it: its last word, and the socket that is told the next."""
+
+    session: Session | None
+    told: api.Message
+    ended_us: int = 0  # 0: in hand
+
+
+class CallFront(Factory):
+    """All sockets; the core's Caller for the calls that came on any of them."""
+
+    def __init__(self, router: Router, clock: ReactorClock, classes: dict[str, int], counts: Counter[str],
+                 path: str) -> None:
+        self.router, self.clock, self.classes, self.counts, self.path = router, clock, classes, counts, path
+        self.sessions: set[Session] = set()
+        self.calls: dict[str, ApiCall] = {}
+        self.clock.at(self.clock.now_us() + SWEEP_US, self._sweep)
+
+    def buildProtocol(self, addr: IAddress | None) -> Session | None:
+        """Twisted's hook for a new connection; None refuses it."""
+        if len(self.sessions) >= CONNECTIONS_MOST:
+            self.counts["ws_connections_refused"] += 1
+            return None
+        return Session(self)
+
+    def _sweep(self) -> None:
+        """Forget what ended long ago, and sockets that have died without a word."""
+        now = self.clock.now_us()
+        for call in [n for n, c in self.calls.items() if c.ended_us and now - c.ended_us > KEPT_US]:
+            del self.calls[call]
+        for session in list(self.sessions):
+            session.check(now)
+        self.clock.at(now + SWEEP_US, self._sweep)
+
+    # ---- what clients ask
+
+    def asked(self, session: Session, request: api.Request) -> None:
+        """Act on a client's message."""
+        call = self.calls.get(request.id)
+        if isinstance(request, api.SetUp) and call is None:
+            self._set_up(session, request)
+        elif call is None:
+            raise api.BadMessage("unknown-call", "no such call", request.id)
+        elif isinstance(request, (api.SetUp, api.Resume)):
+            # The same request again, perhaps over a new socket: the same call, never a second set-up.
+            self.counts["ws_repeats"] += 1
+            call.session = session
+            session.tell(call.told)
+        elif isinstance(request, api.Cancel):
+            if self.router.cancel(request.id):
+                self._tell(request.id, api.Cancelled(request.id))
+            else:  # it crossed the answer, or came twice: the call is as was told
+                session.tell(call.told)
+        elif self.router.hang_up(request.id, request.cause):
+            self._tell(request.id, api.Released(request.id, request.cause))
+        elif call.ended_us:
+            session.tell(call.told)
+        else:
+            raise api.BadMessage("not-standing", "the call is not answered: cancel it", request.id)
+
+    def _set_up(self, session: Session, asked: api.SetUp) -> None:
+        service = self.classes.get(asked.service)
+        if service is None:
+            raise api.BadMessage("unknown-class", "no such class of call", asked.id)
+        if asked.id in self.router.calls:
+            raise api.BadMessage("id-in-use", "another caller's call has this id", asked.id)
+        now = self.router.now_us()
+        longest = now + self.router.settings.classes[service].deadline_us
+        self.counts["ws_set_ups"] += 1
+        self.calls[asked.id] = call = ApiCall(session, api.Progress(asked.id))
+        self.router.offer(Request(
+            asked.id, service, asked.service, asked.dest, asked.number, min(asked.deadline * 1000, longest),
+            asked.description.encode(), asked.width, transit=asked.transit, via=asked.via,
+            cut_before=asked.again), self)
+        if isinstance(call.told, api.Progress):
+            session.tell(call.told)
+
+    def closed(self, session: Session) -> None:
+        """A socket has closed: what is not answered is given up, what stands goes on."""
+        self.sessions.discard(session)
+        for name in [n for n, c in self.calls.items() if c.session is session]:
+            self.calls[name].session = None
+            if self.router.cancel(name):
+                self.counts["ws_given_up_by_close"] += 1
+                self._tell(name, api.Cancelled(name))
+
+    # ---- what the core answers
+
+    def _tell(self, name: str, message: api.Message) -> None:
+        call = self.calls.get(name)
+        if call is None:
+            return
+        call.told = message
+        if isinstance(message, FINAL):
+            call.ended_us = self.clock.now_us()
+        if call.session is not None:
+            call.session.tell(message)
+
+    def answered(self, call: str, description: bytes) -> None:
+        """The call stands."""
+        self.counts["ws_answers_sent"] += 1
+        self._tell(call, api.Answer(call, description.decode("utf-8", "replace")))
+
+    def refused(self, call: str, wait_us: int) -> None:
+        """Turned away; the caller is told when to return."""
+        self.counts["ws_refusals_sent"] += 1
+        self._tell(call, api.Refused(call, -(-wait_us // 1000)))
+
+    def failed(self, call: str) -> None:
+        """The call has failed."""
+        self.counts["ws_failures_sent"] += 1
+        self._tell(call, api.Failed(call))
+
+    def released(self, call: str, cause: int) -> None:
+        """A call that stood is over."""
+        self.counts["ws_releases_sent"] += 1
+        self._tell(call, api.Released(call, cause))
+
+
+class Session(Conversation):
+    """One client's socket."""
+
+    def __init__(self, front: CallFront) -> None:
+        self.front, self.counts = front, front.counts
+        self.machine = ws.WebSocket(ws.Role.SERVER, front.path)
+        self.heard_us = front.clock.now_us()
+        self.busy = False
+
+    def connectionMade(self) -> None:
+        """Twisted's hook: the connection is up."""
+        super().connectionMade()
+        self.counts["ws_connections"] += 1
+        self.front.sessions.add(self)
+        if self.transport is not None:  # a client that does not read is not read either, until it does
+            self.transport.registerProducer(Throttle(self), True)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Twisted's hook: the connection has ended."""
+        self.front.closed(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Twisted's hook: bytes came."""
+        self.heard_us = self.front.clock.now_us()
+        self.busy = True
+        for event in self.machine.receive(data):
+            match event:
+                case ws.Text(raw):
+                    self._text(raw)
+                case ws.Closed():
+                    self.close()
+                case Malformed(reason):
+                    self.counts["ws_malformed"] += 1
+                    log.warning("client sent what cannot be read", reason=reason)
+                    self.close()
+        self.busy = False
+        self.write(self.machine.take())
+
+    def _text(self, raw: str) -> None:
+        try:
+            self.front.asked(self, api.read_request(raw))
+        except api.BadMessage as wrong:
+            self.counts["ws_errors_sent"] += 1
+            self.tell(api.Error(wrong.code, wrong.reason, wrong.id))
+
+    def tell(self, message: api.Message) -> None:
+        """Send a message."""
+        self.machine.send(api.write(message))
+        if not self.busy:
+            self.write(self.machine.take())
+
+    def check(self, now_us: int) -> None:
+        """Ask a silent socket for a sign of life, and give one up that has been silent for long."""
+        if now_us - self.heard_us > SILENT_US:
+            self.abort()
+        elif now_us - self.heard_us > PING_US:
+            self.machine.ping()
+            self.write(self.machine.take())
+
+    def go_away(self) -> None:
+        """The router stops: say so."""
+        self.machine.close(ws.CloseCode.GOING_AWAY)
+        self.write(self.machine.take())
+        self.close()
+
+
+class Throttle:
+    """Twisted's producer for one socket: while the client does not read, nothing is read from it."""
+
+    def __init__(self, session: Session) -> None:
+        self.session = session
+
+    def _pass_on(self, name: str) -> None:
+        transport = self.session.transport
+        if transport is not None:
+            getattr(transport, name)()
+
+    def pauseProducing(self) -> None:
+        """Too much is waiting to be written."""
+        self.session.counts["ws_pauses"] += 1
+        self._pass_on("pauseProducing")
+
+    def resumeProducing(self) -> None:
+        """It has been written."""
+        self._pass_on("resumeProducing")
+
+    def stopProducing(self) -> None:
+        """The connection has ended."""
--- /dev/null
+++ b/astertrack/wire/callapi.py
@@ -0,0 +1,207 @@
+"""The messages of the call-control API: JSON objects, one a WebSocket message (docs/call-control.md).
+
+Clients send the requests and servers the rest; a call router is a server towards callers and a client towards
+destinations that speak the same API.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from astertrack.wire.common import LIMIT
+from astertrack.wire.sip import CALL_ID
+
+
+class BadMessage(Exception):
+    """A message that cannot be acted on: the code and reason of the error that answers it."""
+
+    def __init__(self, code: str, reason: str, id: str | None = None) -> None:
+        super().__init__(reason)
+        self.code, self.reason, self.id = code, reason, id
+
+
+@dataclass(slots=True)
+class SetUp:
+    """Client: place a call. The deadline is a Unix time in milliseconds."""
+
+    id: str
+    service: str
+    number: str
+    dest: int
+    deadline: int
+    description: str = ""
+    width: float = 1.0
+    transit: bool = False
+    via: int = -1
+    again: bool = False
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Client: give up a call that is not answered."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Release:
+    """Client: end a call that stands."""
+
+    id: str
+    cause: int = 16
+
+
+@dataclass(slots=True)
+class Resume:
+    """Client: say how a call stands, and tell this connection what becomes of it."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Progress:
+    """Server: the call is in hand."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Answer:
+    """Server, final: the call stands."""
+
+    id: str
+    description: str = ""
+
+
+@dataclass(slots=True)
+class Refused:
+    """Server, final: turned away; trying again, with a new id, is harmless after cooldown milliseconds."""
+
+    id: str
+    cooldown: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Failed:
+    """Server, final: the call has failed."""
+
+    id: str
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Cancelled:
+    """Server: the call was given up; no final answer is owed."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Released:
+    """Server: a call that stood is over."""
+
+    id: str
+    cause: int = 16
+
+
+@dataclass(slots=True)
+class State:
+    """Server, destinations only: the group of circuits towards it and its processor's load."""
+
+    free: float | None = None
+    size: float | None = None
+    hold_back: float | None = None
+
+
+@dataclass(slots=True)
+class Error:
+    """Server: a message could not be acted on."""
+
+    code: str
+    reason: str
+    id: str | None = None
+
+
+Request = SetUp | Cancel | Release | Resume
+Message = Request | Progress | Answer | Refused | Failed | Cancelled | Released | State | Error
+REQUESTS: dict[str, type[Any]] = {"setup": SetUp, "cancel": Cancel, "release": Release,
+                                 "resume": Resume}
+REPLIES: dict[str, type[Any]] = {
+    "progress": Progress, "answer": Answer, "refused": Refused, "failed": Failed, "cancelled": Cancelled,
+    "released": Released, "state": State, "error": Error}
+NAMES = {kind: name for name, kind in (REQUESTS | REPLIES).items()}
+RENAMED = {"class": "service"}  # the API's word is Python's
+TOLD = {"service": "class"}
+TEXT_MOST = {"number": 128, "service": 64, "code": 64, "reason": 512, "description": LIMIT}
+WHOLE = {"dest": (0, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
+         "cause": (1, 127)}
+NUMBERS = {"width": (1e-6, 1e6), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
+FLAGS = ("transit", "again")
+NEEDED: dict[type[Any], tuple[str, ...]] = {
+    SetUp: ("id", "service", "number", "dest", "deadline"), Error: ("code", "reason"), State: ()}
+
+
+def _value(name: str, value: object, call: str | None) -> object:
+    """Check one field's value."""
+    told, good = TOLD.get(name, name), False
+    if name == "id":
+        good = isinstance(value, str) and CALL_ID.fullmatch(value) is not None
+    elif name in FLAGS:
+        good = isinstance(value, bool)
+    elif name in TEXT_MOST:
+        good = isinstance(value, str) and len(value) <= TEXT_MOST[name] and (
+            name == "description" or value.isprintable())
+    elif isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        good = False
+    elif name in WHOLE:
+        good = isinstance(value, int) and WHOLE[name][0] <= value <= WHOLE[name][1]
+    else:
+        good = NUMBERS[name][0] <= value <= NUMBERS[name][1]
+    if not good:
+        raise BadMessage("bad-field", f"field {told} has no value that can be used", call)
+    return value
+
+
+def _read(raw: str, kinds: dict[str, type[Any]]) -> Any:
+    try:
+        message = json.loads(raw)
+    except (ValueError, RecursionError):
+        raise BadMessage("bad-json", "not JSON") from None
+    if not isinstance(message, dict):
+        raise BadMessage("bad-json", "not an object")
+    given = message.get("id")
+    call = given if isinstance(given, str) and CALL_ID.fullmatch(given) else None
+    name: Any = message.get("type")
+    kind: Any = kinds.get(name) if isinstance(name, str) else None
+    if kind is None:
+        raise BadMessage("unknown-type", "no such type of message", call)
+    fields: dict[str, Any] = {RENAMED.get(str(key), str(key)): value for key, value in message.items()}
+    known = kind.__dataclass_fields__
+    values = {key: _value(key, value, call) for key, value in fields.items()
+              if key in known and value is not None}
+    for field in NEEDED.get(kind, ("id",)):
+        if field not in values:
+            raise BadMessage("missing-field", f"field {TOLD.get(field, field)} is missing", call)
+    return kind(**values)
+
+
+def read_request(raw: str) -> Request:
+    """Read what a client sent, or raise a BadMessage. Fields that are not known are passed over."""
+    message: Request = _read(raw, REQUESTS)
+    return message
+
+
+def read_reply(raw: str) -> Message:
+    """Read what a server sent, or raise a BadMessage."""
+    message: Message = _read(raw, REPLIES)
+    return message
+
+
+def write(message: Message) -> str:
+    """Put a message into JSON."""
+    fields = {TOLD.get(name, name): value for name, value in asdict(message).items() if value is not None}
+    return json.dumps({"type": NAMES[type(message)], **fields}, separators=(",", ":"))
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,374 @@
+"""Stand-ins for what the program speaks to, and a way to start it. All on loopback, on free ports."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+from wsproto import ConnectionType, WSConnection
+from wsproto.events import AcceptConnection, CloseConnection, Message, Ping, Request, TextMessage
+
+from astertrack.wire import peer, sip
+
+ROOT = Path(__file__).resolve().parent.parent
+BOUND_S = 20.0  # no wait is longer
+
+SETTINGS = {
+    "areas": ["casablanca", "fes"], "kinds": ["small-node"], "fleetSize": 4, "myNumber": 0, "zone": 0,
+    "extra": {"topology": "mesh", "homeOffice": 0, "releaseUs": 300000, "classHoldUs": [10000000, 8000000]},
+    "limits": {"maxAttempts": 6, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 2000000,
+               "dialTimeoutUs": 500000},
+    "rules": {"drainGraceUs": 2000000},
+    "services": [
+        {"name": "ledger-read", "onTimeUs": 1500000, "deadlineUs": 9000000, "gain": 1.0, "lateWorth": 0.1},
+        {"name": "declaration-save", "onTimeUs": 1000000, "deadlineUs": 6000000, "gain": 8.0}]}
+
+
+async def within(wait: Any) -> Any:
+    """Wait for something, but not for ever."""
+    return await asyncio.wait_for(wait, BOUND_S)
+
+
+async def until(holds: Any) -> None:
+    """Wait until a condition holds, but not for ever."""
+    async def look() -> None:
+        while not holds():
+            await asyncio.sleep(0.005)
+    await within(look())
+
+
+class Node:
+    """A stand-in exchange: it answers by the number called, and counts what it is sent."""
+
+    def __init__(self) -> None:
+        self.out: Counter[str] = Counter()  # set-ups of a call that are out here
+        self.seen: Counter[str] = Counter()
+        self.overlaps = 0
+        self.released: list[tuple[str, int]] = []
+        self.standing: set[str] = set()
+        self.server: asyncio.Server | None = None
+        self.writers: list[asyncio.StreamWriter] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Node:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        assert self.server is not None
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        raise NotImplementedError
+
+    def taken(self, call: str) -> None:
+        """A set-up has arrived."""
+        self.seen[call] += 1
+        self.out[call] += 1
+        self.overlaps += self.out[call] > 1
+
+    def later(self, work: Any) -> None:
+        """Do something beside reading on."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def stop(self) -> None:
+        """Close everything."""
+        for task in list(self.tasks):
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+class BinaryNode(Node):
+    """It speaks the platform's binary messages."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Tell the group's state, then answer set-ups."""
+        self.writers.append(writer)
+        stream = peer.Stream()
+        writer.write(peer.encode(peer.Message(peer.Type.GROUP_STATE, "0" * 16,
+                                              {peer.Code.REPORT: b"x0:100;x1:100;eps:0"})))
+        while data := await reader.read(4096):
+            for message in stream.receive(data):
+                assert isinstance(message, peer.Message)
+                self.heard(message, writer)
+
+    def heard(self, message: peer.Message, writer: asyncio.StreamWriter) -> None:
+        """Act on one message."""
+        call = message.call
+        if message.type == peer.Type.SET_UP:
+            self.taken(call)
+            self.later(self.decide(call, message.parameters[peer.Code.NUMBER].decode(),
+                                   message.parameters[peer.Code.DESCRIPTION], writer))
+        elif message.type == peer.Type.RELEASE:
+            self.released.append((call, message.parameters[peer.Code.CAUSE][0]))
+            self.out[call] = 0
+            self.standing.discard(call)
+
+    def say(self, writer: asyncio.StreamWriter, kind: peer.Type, call: str,
+            parameters: dict[int, bytes]) -> None:
+        """Write one message."""
+        writer.write(peer.encode(peer.Message(kind, call, parameters)))
+
+    def end(self, writer: asyncio.StreamWriter, call: str, cause: int, note: bytes = b"") -> None:
+        """Release a call or a set-up."""
+        self.out[call] = 0
+        self.standing.discard(call)
+        self.say(writer, peer.Type.RELEASE, call,
+                 {peer.Code.CAUSE: bytes((cause,)), **({peer.Code.NOTE: note} if note else {})})
+
+    async def decide(self, call: str, number: str, description: bytes, writer: asyncio.StreamWriter) -> None:
+        """Answer as the number's first word says."""
+        await asyncio.sleep(0.01)
+        what = number.partition("-")[0]
+        if what == "full":
+            self.end(writer, call, 34, b"throttled")
+        elif what == "fault":
+            self.end(writer, call, 47)
+        elif what == "busy":
+            self.end(writer, call, 17, b"engaged")
+        elif what == "reset":
+            self.end(writer, call, 41)
+        elif what != "silent" and self.out[call]:
+            self.standing.add(call)
+            self.say(writer, peer.Type.ANSWER, call, {peer.Code.DESCRIPTION: b"answer to " + description})
+            if what != "long":
+                await asyncio.sleep(0.1)
+                if call in self.standing:
+                    self.end(writer, call, 41 if what == "cut" else 16)
+
+
+class ApiNode(Node):
+    """It speaks the call-control API; its WebSocket is an independent library's."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Shake hands, tell the state, answer set-ups."""
+        self.writers.append(writer)
+        machine, parts = WSConnection(ConnectionType.SERVER), ""
+        while data := await reader.read(4096):
+            machine.receive_data(data)
+            for event in machine.events():
+                if isinstance(event, Request):
+                    writer.write(machine.send(AcceptConnection()))
+                    self.tell(machine, writer, type="state", free=50, size=50, hold_back=0)
+                elif isinstance(event, TextMessage):
+                    parts += event.data
+                    if event.message_finished:
+                        self.later(self.heard(json.loads(parts), machine, writer))
+                        parts = ""
+
+    def tell(self, machine: WSConnection, writer: asyncio.StreamWriter, **message: Any) -> None:
+        """Send one message."""
+        writer.write(machine.send(Message(json.dumps(message))))
+
+    async def heard(self, asked: dict[str, Any], machine: WSConnection, writer: asyncio.StreamWriter) -> None:
+        """Act on one message."""
+        call = asked["id"]
+        if asked["type"] == "setup":
+            self.taken(call)
+            assert asked["deadline"] > time.time() * 1000
+            await asyncio.sleep(0.01)
+            what = asked["number"].split("-")[0]
+            if what in ("full", "fault"):
+                self.out[call] = 0
+                kind = "refused" if what == "full" else "failed"
+                self.tell(machine, writer, type=kind, id=call, reason="processor-full")
+            elif what != "silent":
+                self.standing.add(call)
+                self.tell(machine, writer, type="answer", id=call, description="answer to "
+                          + asked["description"])
+                if what != "long":
+                    await asyncio.sleep(0.1)
+                    self.out[call] = 0
+                    self.standing.discard(call)
+                    self.tell(machine, writer, type="released", id=call, cause=16)
+        elif asked["type"] in ("cancel", "release"):
+            self.released.append((call, asked.get("cause", 0)))
+            self.out[call] = 0
+            self.standing.discard(call)
+
+
+class SipCaller:
+    """One connection of SIP callers."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.stream = reader, writer, sip.Stream()
+        self.finals: dict[str, list[sip.Message]] = {}
+        self.byes: list[str] = []
+        self.tests = 0
+        self.task = asyncio.get_running_loop().create_task(self.read())
+
+    @classmethod
+    async def connect(cls, port: int) -> SipCaller:
+        """Connect."""
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def invite(self, call: str, number: str, dest: int, wait_ms: int = 3000,
+               tier: str = "ledger-read") -> None:
+        """Place a call."""
+        self.writer.write(sip.encode(f"INVITE sip:{number}@net SIP/2.0", [
+            ("Via", "SIP/2.0/TCP peer"), ("Call-ID", call), ("CSeq", "1 INVITE"), ("X-Tier", tier),
+            ("X-Deadline", str(wait_ms)), ("X-Attrs", f"dest:{dest};width:1;via:-1")],
+            b"offer " + call.encode()))
+
+    def ask(self, method: str, call: str) -> None:
+        """Send CANCEL, BYE, ACK or OPTIONS."""
+        self.writer.write(sip.encode(f"{method} sip:{call}@net SIP/2.0", [
+            ("Call-ID", call), ("CSeq", f"1 {method}")]))
+
+    async def read(self) -> None:
+        """Read until the end."""
+        while data := await self.reader.read(4096):
+            for message in self.stream.receive(data):
+                assert isinstance(message, sip.Message)
+                call = message.headers.get("call-id", "")
+                if message.method == "BYE":
+                    self.byes.append(call)
+                elif message.headers.get("cseq", "").endswith("OPTIONS"):
+                    self.tests += 1
+                elif message.headers.get("cseq", "").endswith("INVITE") and message.status >= 200:
+                    self.finals.setdefault(call, []).append(message)
+                    self.ask("ACK", call)
+
+    def close(self) -> None:
+        """Close."""
+        self.writer.close()
+        self.task.cancel()
+
+
+class ApiCaller:
+    """One socket of a client of the call-control API, on an independent library."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.machine = reader, writer, WSConnection(ConnectionType.CLIENT)
+        self.heard: list[dict[str, Any]] = []
+        self.open = asyncio.Event()
+        self.closed: int | None = None
+        writer.write(self.machine.send(Request(host="127.0.0.1", target="/calls")))
+        self.task = asyncio.get_running_loop().create_task(self.read())
+
+    @classmethod
+    async def connect(cls, port: int) -> ApiCaller:
+        """Connect and shake hands."""
+        caller = cls(*await asyncio.open_connection("127.0.0.1", port))
+        await within(caller.open.wait())
+        return caller
+
+    def send(self, **message: Any) -> None:
+        """Send a message."""
+        self.writer.write(self.machine.send(Message(json.dumps(message))))
+
+    def set_up(self, call: str, number: str, dest: int, wait_ms: int = 3000,
+               tier: str = "ledger-read") -> None:
+        """Place a call."""
+        self.send(type="setup", id=call, number=number, dest=dest, description=f"offer {call}",
+                  deadline=int(time.time() * 1000) + wait_ms, **{"class": tier})
+
+    async def read(self) -> None:
+        """Read until the end."""
+        parts = ""
+        while data := await self.reader.read(4096):
+            self.machine.receive_data(data)
+            for event in self.machine.events():
+                if isinstance(event, AcceptConnection):
+                    self.open.set()
+                elif isinstance(event, TextMessage):
+                    parts += event.data
+                    if event.message_finished:
+                        self.heard.append(json.loads(parts))
+                        parts = ""
+                elif isinstance(event, Ping):
+                    self.writer.write(self.machine.send(event.response()))
+                elif isinstance(event, CloseConnection):
+                    self.closed = event.code
+
+    def told(self, call: str, *types: str) -> list[dict[str, Any]]:
+        """What was said of a call, of these types."""
+        return [m for m in self.heard if m.get("id") == call and m["type"] in types]
+
+    def finals(self, call: str) -> list[dict[str, Any]]:
+        """The final answers of a call."""
+        return self.told(call, "answer", "refused", "failed")
+
+    def close(self) -> None:
+        """Close without a word."""
+        self.writer.close()
+        self.task.cancel()
+
+
+class Program:
+    """The program, started as in service."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int, api_port: int, log: Path) -> None:
+        self.process, self.port, self.api_port, self.log = process, port, api_port, log
+
+    async def counts(self) -> Counter[str]:
+        """End it, and return the counters it prints."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        assert await within(self.process.wait()) == 0
+        line = next(x for x in self.log.read_text().splitlines() if x.startswith("counters "))
+        return Counter({name: int(value) for name, _, value in (w.partition("=") for w in line.split()[1:])})
+
+
+def free_port() -> int:
+    """A port that nothing listens on."""
+    import socket  # noqa: PLC0415
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@contextlib.asynccontextmanager
+async def program(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
+                  gateway: str = "", bulletin: str = "") -> AsyncIterator[Program]:
+    """Start the program between these stand-in exchanges, by number."""
+    port, api_port = free_port(), free_port()
+    with tempfile.TemporaryDirectory() as folder:
+        endpoints = [{"name": f"s-{n}", "address": node.address, "zone": "fes", "type": "small-node",
+                      "group": n, "status": "in_service", "weight": 1, "since_ms": 0}
+                     for n, node in nodes.items()]
+        config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "1f", "bulletin": bulletin,
+                  "known": {"no": 1, "items": [{"no": 1, "roster": {
+                      "index": 1, "snapshot": True, "endpoints": endpoints}}]}, "settings": SETTINGS}
+        here = Path(folder)
+        (here / "config.json").write_text(json.dumps(config))
+        lines = [gateway, "[front]", f'listen = "127.0.0.1:{api_port}"']
+        for n, node in (api_nodes or {}).items():
+            lines += ["[[destination]]", f'name = "w-{n}"', f'address = "{node.address}"', f"number = {n}"]
+        (here / "gateway.toml").write_text("\n".join(lines))
+        log = here / "log"
+        with log.open("w") as sink:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "astertrack", cwd=ROOT, stderr=sink,
+                env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{port}",
+                     "RELAY_CONFIG": str(here / "config.json"),
+                     "ASTERTRACK_GATEWAY": str(here / "gateway.toml")})
+        try:
+            await until(lambda: process.returncode is not None or "event=serving" in log.read_text())
+            assert process.returncode is None, log.read_text()
+            yield Program(process, port, api_port, log)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            for node in (*nodes.values(), *(api_nodes or {}).values()):
+                node.stop()
