--- /dev/null
+++ b/tests/test_wires.py
@@ -0,0 +1,137 @@
+"""The state machines of the wires: any split of the bytes, what is malformed, limits, and round trips."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wires import CALLS, CUTS, check_any_split, feed
+
+from astertrack.net.peers import load
+from astertrack.wire import peer, sip, sse
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, figures, whole
+from ospreylug import interface as io
+
+BODIES = st.binary(max_size=200)
+TOKENS = st.text("abcxyz019-", min_size=1, max_size=12)
+INVITES = st.builds(
+    lambda call, number, wait, body: (sip.SetUp(call, number, "voice", wait, "dest:2", body), sip.encode(
+        f"INVITE sip:{number}@net SIP/2.0",
+        [("Via", "SIP/2.0/TCP peer"), ("Call-ID", call), ("CSeq", "1 INVITE"), ("X-Tier", "voice"),
+         ("X-Deadline", str(wait)), ("X-Attrs", "dest:2")], body)),
+    CALLS, TOKENS, st.integers(0, 9000), BODIES)
+
+
+def bye(call: str) -> bytes:
+    """A caller's release."""
+    return sip.encode(f"BYE sip:{call}@net SIP/2.0", [("call-id", call), ("CSeq", "2 BYE"),
+                                                      ("Reason", "Q.850;cause=31")])
+
+
+@given(st.lists(INVITES, max_size=4, unique_by=lambda made: made[0].call), CALLS, CUTS)
+def test_sip_messages_come_out_whole_whatever_the_split(made: list[tuple[sip.SetUp, bytes]], call: str,
+                                                       cuts: list[int]) -> None:
+    data = b"\r\n\r\n".join([*(raw for _, raw in made), bye(call)])
+    events = check_any_split(lambda: sip.Server().receive, data, cuts)
+    assert events == [*(event for event, _ in made), sip.HungUp(call, 31)]
+
+
+@given(BODIES, CUTS)
+def test_nothing_that_comes_breaks_a_reader(noise: bytes, cuts: list[int]) -> None:
+    for start in (b"", b"INVITE sip:1@net SIP/2.0\r\n", b"\x00\x20\x0c", b"HTTP/1.1 200 OK\r\n\r\ndata: "):
+        check_any_split(lambda: sip.Server().receive, start + noise, cuts)
+        check_any_split(lambda: peer.Stream().receive, start + noise, cuts)
+        check_any_split(lambda: sse.Client().receive, start + noise, cuts)
+
+
+@pytest.mark.parametrize("raw", [
+    b"INVITE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\n\r\n",  # no Content-Length
+    b"INVITE sip:1@net SIP/2.0\r\nContent-Length: 0\r\nX-Deadline: 5\r\n\r\n",  # no Call-ID
+    b"INVITE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\nContent-Length: 0\r\n\r\n",  # no X-Deadline
+    b"BYE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\nContent-Length: +1\r\n\r\n",
+    b"BYE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\nContent-Length: 1_0\r\n\r\n",
+    b"BYE sip:1@net SIP/2.0\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n",
+    b"BYE sip:1@net SIP/2.0\r\nContent-Length: 99999\r\n\r\n",
+    b"BYE sip:1@net SIP/2.0\r\nA: \x00\r\nContent-Length: 0\r\n\r\n",
+    b"BYE sip:1@net SIP/2.0\r\n folded\r\nContent-Length: 0\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    b"INVITE tel:1 SIP/2.0\r\nCall-ID: 00000000000000aa\r\nX-Deadline: 1\r\nContent-Length: 0\r\n\r\n",
+    b"BYE sip:\xff@net SIP/2.0\r\nContent-Length: 0\r\n\r\n",
+    b"x" * (LIMIT + 1),
+])
+def test_malformed_sip_is_said_once_and_ends_the_connection(raw: bytes) -> None:
+    server = sip.Server()
+    events = feed(server.receive, raw + bye("00000000000000bb"))
+    assert [type(event) for event in events] == [Malformed]
+    assert server.receive(bye("00000000000000bb")) == []
+
+
+def test_sip_answers_echo_what_matches_them_and_come_once() -> None:
+    server, call = sip.Server(), "00000000000000aa"
+    server.receive(sip.encode("INVITE sip:5@net SIP/2.0", [
+        ("Via", "SIP/2.0/TCP peer"), ("From", "a"), ("Call-ID", call), ("CSeq", "1 INVITE"),
+        ("X-Deadline", "100")], b"offer"))
+    assert server.refuse(call, 503, 250)
+    assert not server.answer(call, b"late")
+    (message,) = sip.Stream().receive(server.take())
+    assert isinstance(message, sip.Message)
+    assert (message.status, message.headers["x-cooldown"]) == (503, "250")
+    assert message.headers["cseq"] == "1 INVITE"
+    assert (message.headers["via"], message.headers["from"]) == ("SIP/2.0/TCP peer", "a")
+    assert server.take() == b""
+
+
+@given(st.lists(st.builds(peer.Message, st.integers(0, 255), CALLS,
+                          st.dictionaries(st.integers(0, 255), BODIES, max_size=4)), max_size=5), CUTS)
+def test_binary_messages_survive_any_split(messages: list[peer.Message], cuts: list[int]) -> None:
+    data = b"".join(map(peer.encode, messages))
+    assert check_any_split(lambda: peer.Stream().receive, data, cuts) == messages
+
+
+@pytest.mark.parametrize("raw", [
+    b"\x40\x00", b"\x00\x08" + b"1" * 8, b"\x00\x0b\x0c" + b"1" * 8 + b"\x1d\x00",
+    b"\x00\x0c\x0c" + b"1" * 8 + b"\x1d\x00\x01",
+])
+def test_malformed_binary_messages_are_said_once(raw: bytes) -> None:
+    stream = peer.Stream()
+    assert [type(event) for event in feed(stream.receive, raw)] == [Malformed]
+    assert stream.receive(raw) == []
+
+
+def test_a_release_needs_a_cause_of_one_byte() -> None:
+    for parameters in ({}, {29: b""}, {29: b"16"}):
+        with pytest.raises(Unreadable):
+            peer.read_event(peer.Message(peer.Type.RELEASE, "0" * 16, parameters))
+
+
+def test_reports_are_read_under_either_name_and_nonsense_is_left_out() -> None:
+    assert load("x0:3;x1:9;eps:0.25") == load("free:3;size:9;hold_back:0.25") == io.Load(3, 9, hold_back=0.25)
+    assert figures("x0:nan;x1:inf;;:;queue:7") == {"queue": 7}
+    assert load("x0:-1;x1:40").free is None
+
+
+@given(st.lists(st.tuples(st.integers(0, 99), st.text("ab{}é", min_size=1, max_size=20)), max_size=4),
+       st.booleans(), CUTS, st.integers(1, 9))
+def test_server_sent_events_survive_any_split(told: list[tuple[int, str]], chunked: bool, cuts: list[int],
+                                              size: int) -> None:
+    body = b"".join(f": comment\n\nid: {at}\ndata: {data}\n\n".encode() for at, data in told)
+    if chunked:
+        pieces = [body[at:at + size] for at in range(0, len(body), size)]
+        body = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+    head = b"HTTP/1.1 200 OK\r\n" + (b"Transfer-Encoding: chunked\r\n" if chunked else b"") + b"\r\n"
+    events = check_any_split(lambda: sse.Client().receive, head + body, cuts)
+    assert events == [sse.ServerSentEvent(str(at), data) for at, data in told]
+
+
+@pytest.mark.parametrize("raw", [b"HTTP/1.1 503 Busy\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\nid: x\n\n",
+                                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                                 b"y" * (LIMIT + 1)])
+def test_a_bulletin_that_cannot_be_read_is_said_once(raw: bytes) -> None:
+    assert [type(event) for event in feed(sse.Client().receive, raw)] == [Malformed]
+
+
+def test_whole_numbers_are_plain_digits() -> None:
+    assert whole("12", "n") == 12
+    for raw in ("", "-", "--1", " 1", "1_0", "٣", "1" * 17, "-1"):
+        with pytest.raises(Unreadable):
+            whole(raw, "n")
