--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections import Counter
 from typing import Any
@@ -10,7 +11,6 @@
 
 from astertrack.config import Config
 from astertrack.core import Router
-from astertrack.core.model import Record
 from astertrack.net.apilink import ApiLink
 from astertrack.net.bulletin import Bulletin, read_event
 from astertrack.net.callers import CallerFront
@@ -18,12 +18,14 @@
 from astertrack.net.links import Link
 from astertrack.net.peers import Endpoint, PeerLink, PeerTable
 from astertrack.net.websocket import CallFront
+from astertrack.store import make_store
 from astertrack.wire.common import Unreadable
 from ospreylug import interface as io
 
 log = structlog.get_logger()
 LAST_CALLERS_US = 900_000  # after SIGTERM connections and set-ups still come: 0.4 s and 0.2 s, with some room
 CHECK_US = 50_000  # how often it is looked whether all calls are over
+STORE_US = 2_000_000  # how long the program's end waits for the store
 LISTEN_BACKLOG = 512
 
 
@@ -34,8 +36,10 @@
         self.config, self.reactor = config, reactor
         self.counts: Counter[str] = Counter()
         self.clock = ReactorClock(reactor)
+        self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
         self.peers = PeerTable(self._link, config.settings.home)
-        self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self._record)
+        self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info,
+                             self.store.record)
         self.router.counts = self.counts
         self.front = CallerFront(self.router, config.classes, self.counts)
         self.paths = {d.name: d.path for d in config.gateway.destinations}
@@ -56,9 +60,6 @@
         link.dial()
         return link
 
-    def _record(self, record: Record) -> None:
-        """Nothing keeps records on the platform."""
-
     def start(self) -> None:
         """Learn the peers, listen, and follow the bulletin."""
         config = self.config
@@ -116,9 +117,18 @@
         elif self.reactor.running:
             for session in list(self.call_front.sessions) if self.call_front is not None else ():
                 session.go_away()
-            self.clock.at(self.clock.now_us() + CHECK_US, self.reactor.stop)
+            self.clock.at(self.clock.now_us() + STORE_US, self._abandon_store)
+            self.store.close().addCallback(
+                lambda _: self.clock.at(self.clock.now_us() + CHECK_US, self.reactor.stop))
+
+    def _abandon_store(self) -> None:
+        """Guards the end against a store that hangs: its thread cannot be stopped."""
+        log.warning("the store did not finish in time")
+        self.print_counts()
+        os._exit(0)
 
     def print_counts(self) -> None:
         """Print the counters, one line."""
+        self.counts["store_waiting"] = self.store.waiting()
         figures = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         print(f"counters calls_in_hand={len(self.router.calls)} {figures}", file=sys.stderr, flush=True)
