Pass on the release of a call that stood before a restart

PROTOCOL has a peer send its release on the next connection that is opened, and no connection own a call that stands: after a restart the new process is the only one to hear it, and it was dropped (releases_unknown). Now it is told once to the caller's side, for 60 s after a start and only for ids that this process never had.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -39,7 +39,7 @@
         self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
         self.peers = PeerTable(self._link, config.settings.home)
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info,
-                             self.store.record)
+                             self.store.record, self._orphaned)
         self.router.counts = self.counts
         self.front = CallerFront(self.router, config.classes, self.counts)
         self.paths = {d.name: d.path for d in config.gateway.destinations}
@@ -60,6 +60,10 @@
         link.dial()
         return link
 
+    def _orphaned(self, call: str, cause: int) -> None:
+        """A call of the process before a restart is over."""
+        self.front.release(call, cause)
+
     def start(self) -> None:
         """Learn the peers, listen, and follow the bulletin."""
         config = self.config
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -31,6 +31,7 @@
 # left, at once. The deadline counts from when the caller sent the last byte, and a busy router reads it late:
 # margins of 15 and 5 ms lost calls, and so did a tenth of the time left to redials that had 10 to 90 ms.
 MARGIN_US = 100_000
+ORPHAN_US = 60_000_000  # after a start, how long releases may come of calls that a process before set up
 RETURN_US = 1_000_000  # when to return after a refusal of the router's own
 UNCERTAIN = (io.Outcome.TIMEOUT, io.Outcome.CUT, io.Outcome.CALLED_OFF)  # its release has to be awaited
 
@@ -64,8 +65,10 @@
     """One exchange's calls. Events come in by its methods; answers and set-ups leave by its ports."""
 
     def __init__(self, settings: io.Settings, seed: int, clock: Clock, peers: Peers, log: Log,
-                 record: Callable[[Record], None]) -> None:
+                 record: Callable[[Record], None],
+                 orphaned: Callable[[str, int], None] = lambda call, cause: None) -> None:
         self.settings, self.clock, self.peers, self.log, self.record = settings, clock, peers, log, record
+        self.orphaned = orphaned  # releases, towards its caller, a call of the process before this one
         self.controller = Controller(settings, seed)
         self.calls: dict[str, Call] = {}
         self.at_peer: dict[str, dict[str, Call]] = {}  # calls with an attempt out or standing, by peer
@@ -73,6 +76,8 @@
         self.free: dict[str, float] = {}  # circuits free in the group to a peer, as last told
         self.round_trip_us: dict[str, int] = {}  # shortest time in which a peer ended an attempt
         self.counts: Counter[str] = Counter()
+        self._seen: set[str] | None = set()  # calls of this process, while orphans may come
+        clock.at(clock.now_us() + ORPHAN_US, self._no_more_orphans)
         self._events: deque[io.Event] = deque()
         self._busy = False
         self._now_us = 0
@@ -84,6 +89,8 @@
         if request.call in self.calls:
             self.counts["offers_repeated"] += 1
             return False
+        if self._seen is not None:
+            self._seen.add(request.call)
         now = self.now_us()
         call = self.calls[request.call] = Call(request, caller, now, request.deadline_us - MARGIN_US)
         self.counts["calls_in_transit" if request.transit else "calls_fresh"] += 1
@@ -147,6 +154,7 @@
         call = self._at(peer, name)
         if call is None:
             self.counts["releases_unknown"] += 1
+            self._orphan(name, end.outcome)
         elif call.standing:
             self._cut_or_ended(call, end)
         else:
@@ -155,6 +163,17 @@
                 self.round_trip_us[peer] = min(took, self.round_trip_us.get(peer, took))
             self._attempt_over(call, end, settled=False)
 
+    def _orphan(self, name: str, outcome: io.Outcome) -> None:
+        """A call of the process before a restart is over: its caller is told, once."""
+        ended = outcome is io.Outcome.OK
+        if self._seen is not None and name not in self._seen and (ended or outcome is io.Outcome.CUT):
+            self._seen.add(name)
+            self.counts["releases_passed_on"] += 1
+            self.orphaned(name, NORMAL if ended else CUT)
+
+    def _no_more_orphans(self) -> None:
+        self._seen = None
+
     def peer_lost(self, peer: str) -> None:
         """A peer's process has died, and all its calls with it: nobody else will release them."""
         for call in list(self.at_peer.get(peer, {}).values()):
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -30,10 +30,10 @@
         """Twisted's hook for a new connection."""
         return CallerConnection(self)
 
-    def release(self, call: str, cause: int, preferred: CallerConnection) -> None:
+    def release(self, call: str, cause: int, preferred: CallerConnection | None = None) -> None:
         """Release a call that stood, on its own connection or any other: none owns it."""
         self.counts["sip_releases_sent"] += 1
-        if preferred in self.connections:
+        if preferred is not None and preferred in self.connections:
             preferred.release(call, cause)
         elif self.connections:
             self.connections[-1].release(call, cause)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from wsproto import ConnectionType, WSConnection
 from wsproto.events import AcceptConnection, CloseConnection, Message, Ping, Request, TextMessage
@@ -59,7 +59,7 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> Node:
+    async def start(self) -> Self:
         """Listen on a free port."""
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         return self
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -163,6 +163,23 @@
     run(work)
 
 
+def test_the_release_of_a_call_set_up_before_a_restart_is_passed_on_to_its_caller_once() -> None:
+    async def work() -> None:
+        node = await BinaryNode().start()
+        async with program({1: node}) as router:
+            sip, orphan, own = await SipCaller.connect(router.port), fresh(), fresh()
+            sip.invite(own, "fault-1", 1)
+            await until(lambda: own in sip.finals)
+            node.end(node.writers[0], own, 16)  # a call of this process that never stood
+            node.end(node.writers[0], orphan, 16)
+            node.end(node.writers[0], orphan, 16)  # told again, as on each new connection
+            await until(lambda: sip.byes)
+            counts = await router.counts()
+            assert sip.byes == [orphan]
+            assert counts["releases_passed_on"] == 1
+    run(work)
+
+
 def test_sigterm_finishes_what_is_taken_and_still_takes_calls_for_a_while() -> None:
     async def work() -> None:
         node = await BinaryNode().start()
