--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -36,7 +36,7 @@
 
     session: Session | None
     told: api.Message
-    ended_us: int = 0  # 0: in hand
+    ended_us: int | None = None  # None: in hand
 
 
 class CallFront(Factory):
@@ -59,7 +59,8 @@
     def _sweep(self) -> None:
         """Forget what ended long ago, and sockets that have died without a word."""
         now = self.clock.now_us()
-        for call in [n for n, c in self.calls.items() if c.ended_us and now - c.ended_us > KEPT_US]:
+        old = now - KEPT_US
+        for call in [n for n, c in self.calls.items() if c.ended_us is not None and c.ended_us <= old]:
             del self.calls[call]
         for session in list(self.sessions):
             session.check(now)
@@ -86,7 +87,7 @@
                 session.tell(call.told)
         elif self.router.hang_up(request.id, request.cause):
             self._tell(request.id, api.Released(request.id, request.cause))
-        elif call.ended_us:
+        elif call.ended_us is not None:
             session.tell(call.told)
         else:
             raise api.BadMessage("not-standing", "the call is not answered: cancel it", request.id)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -199,6 +199,12 @@
                     self.out[call] = 0
                     self.standing.discard(call)
                     self.tell(machine, writer, type="released", id=call, cause=16)
+        elif asked["type"] == "resume":
+            self.seen["resume"] += 1
+            if call in self.standing:
+                self.tell(machine, writer, type="answer", id=call, description="still")
+            else:
+                self.tell(machine, writer, type="error", id=call, code="unknown-call", reason="no such call")
         elif asked["type"] in ("cancel", "release"):
             self.released.append((call, asked.get("cause", 0)))
             self.out[call] = 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -180,6 +180,42 @@
     run(work)
 
 
+def test_calls_that_stand_at_a_destination_are_resumed_when_its_socket_closes() -> None:
+    async def work() -> None:
+        node = await ApiNode().start()
+        async with program({}, {1: node}) as router:
+            sip, kept, lost, out = await SipCaller.connect(router.port), fresh(), fresh(), fresh()
+            sip.invite(kept, "long-1", 1)
+            sip.invite(lost, "long-2", 1)
+            sip.invite(out, "silent-1", 1)
+            await until(lambda: {kept, lost} <= set(sip.finals) and node.seen[out])
+            node.standing.discard(lost)  # it has forgotten that one
+            node.writers[0].close()
+            await until(lambda: node.seen["resume"] == 2 and lost in sip.byes)
+            await until(lambda: out in sip.finals)  # what was open on the socket is broken
+            assert sip.finals[out][0].status == 503
+            assert kept not in sip.byes
+            sip.ask("BYE", kept)
+            await until(lambda: kept not in node.standing)
+            assert [node.seen[call] for call in (kept, lost, out)] == [1, 1, 1]  # no second set-up
+    run(work)
+
+
+def test_a_cancel_that_crosses_the_answer_is_told_the_answer_again() -> None:
+    async def work() -> None:
+        node = await BinaryNode().start()
+        async with program({1: node}) as router:
+            api, call = await ApiCaller.connect(router.api_port), fresh()
+            api.set_up(call, "long-1", 1)
+            await until(lambda: api.finals(call))
+            api.send(type="cancel", id=call)
+            await until(lambda: len(api.told(call, "answer")) == 2)
+            assert call in node.standing
+            api.send(type="release", id=call, cause=31)
+            await until(lambda: (call, 31) in node.released)
+    run(work)
+
+
 def test_sigterm_finishes_what_is_taken_and_still_takes_calls_for_a_while() -> None:
     async def work() -> None:
         node = await BinaryNode().start()
