Close idle, silent and half-sent caller connections; send releases where calls were answered

Ruled out: CPU (0.25 s in the fullest second), the peers (their releases arrived).

Now: silent or half-sent for 2.4 s, idle without an open set-up for 5 s, not reading for 2 s: closed; a bound on connections (5/8 of the descriptors, 1/8 for the WebSocket front), under which the least missed one makes room. A release goes to a connection on which calls were answered, and once more elsewhere if callers say that they hear releases and this one is not heard. Also from reading: the id of an open call offered on a second connection was never answered, and that connection's end gave the first call up; figures that are no numbers were left out and the call passed on; X-Deadline up to 11 days kept a call in hand; long texts of figures were remembered (2,048 of up to 16 KiB); what cannot be read now gets a 400 before the close, and set-ups open beside it their refusal.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -27,6 +27,8 @@
 CHECK_US = 50_000  # how often it is looked whether all calls are over
 STORE_US = 2_000_000  # how long the program's end waits for the store
 LISTEN_BACKLOG = 512
+# Of the descriptors: callers keep a third at most, and the rest is for those who connect and say nothing.
+CALLERS_SHARE, API_SHARE = 0.625, 0.125
 
 
 class App:
@@ -41,7 +43,8 @@
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info,
                              self.store.record, self._orphaned)
         self.router.counts = self.counts
-        self.front = CallerFront(self.router, config.classes, self.counts)
+        self.front = CallerFront(self.router, self.clock, config.classes, self.counts,
+                                 max(8, int(config.sockets * CALLERS_SHARE)))
         self.paths = {d.name: d.path for d in config.gateway.destinations}
         self.destinations = [Endpoint(d.address, io.Entry(d.name, d.number, d.zone))
                              for d in config.gateway.destinations]
@@ -87,7 +90,7 @@
         if config.gateway.front is not None:
             host, port = config.gateway.front
             self.call_front = CallFront(self.router, self.clock, config.classes, self.counts,
-                                        config.gateway.path)
+                                        config.gateway.path, max(8, int(config.sockets * API_SHARE)))
             self.ports.append(self.reactor.listenTCP(
                 port, self.call_front, backlog=LISTEN_BACKLOG, interface=host))
         if config.bulletin:
--- a/astertrack/config.py
+++ b/astertrack/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -58,6 +59,7 @@
     bulletin: str
     known_last: int
     known: list[Any]  # the bulletin's events so far
+    sockets: int  # descriptors that the process may hold
     gateway: Gateway = field(default_factory=Gateway)
 
 
@@ -114,6 +116,13 @@
     return path, raw
 
 
+def _sockets(limits: object) -> int:
+    """Read how many descriptors there are: what is told, but no more than the system gives."""
+    given, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    told = limits.get("sockets") if isinstance(limits, dict) else None
+    return min(int(told), given) if told else given
+
+
 def read_bulletin(environ: Mapping[str, str] = os.environ) -> str:
     """Read the bulletin's address anew, or raise a ConfigError: all that a running router takes over."""
     _, raw = _read_file(environ)
@@ -146,6 +155,7 @@
             kinds=[str(kind) for kind in env.get("kinds") or ()],
             dial_us=int(limits.get("dialTimeoutUs") or 500_000), bulletin=bulletin,
             known_last=int(known["no"]), known=list(known["items"]),
+            sockets=_sockets(raw.get("limits")),
             gateway=read_gateway(Path(environ.get("ASTERTRACK_GATEWAY") or GATEWAY),
                                  [str(zone) for zone in env.get("areas") or ()]))
     except WireError as wrong:
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass, field
 from typing import Any
 
 import structlog
@@ -11,36 +12,107 @@
 from twisted.python.failure import Failure
 
 from astertrack.core import Request, Router
-from astertrack.net.base import Conversation
+from astertrack.core.model import Clock
+from astertrack.net.base import Conversation, Throttle
 from astertrack.wire import sip
-from astertrack.wire.common import Malformed, figures
+from astertrack.wire.common import Malformed, Unreadable, figures
 
 log = structlog.get_logger()
-REFUSED, FAILED, TERMINATED = 503, 500, 487
+REFUSED, FAILED, TERMINATED, BAD = 503, 500, 487, 400
 READ_MOST = 4096  # octets read from one connection at a turn: about ten set-ups
+SWEEP_US = 250_000  # how often connections and releases are looked at
+SPEAK_US = 2_400_000  # a connection without a whole message for so long is closed: callers are owed it in 3 s
+IDLE_US = 5_000_000  # and one with no set-up open; callers themselves close theirs after 4 s
+CHOKED_US = 2_000_000  # one that does not read what it is sent
+END_US = 500_000  # how long a connection that is closed may take to send what is left
+FRESH_US = 100_000  # a connection so young is not given up for another
+UNHEARD_US = 350_000  # a release that the caller has not heard by then is sent on another connection
+RELEASE_TRIES = 3
+WIDTH_MOST = 64.0  # circuits
+DEADLINES = 2  # times the class's own deadline: what asks for longer is out of range
+
+
+@dataclass(slots=True)
+class Release:
+    """A release that is to be heard by a caller."""
+
+    cause: int
+    asked_us: int
+    sent_us: int = 0
+    tried: list[CallerConnection] = field(default_factory=list)
 
 
 class CallerFront(Factory):
     """All connections from callers."""
 
-    def __init__(self, router: Router, classes: dict[str, int], counts: Counter[str]) -> None:
-        self.router, self.classes, self.counts = router, classes, counts
-        self.connections: list[CallerConnection] = []
-        self.releases: list[tuple[str, int]] = []  # to be told on the next connection: none is open
+    def __init__(self, router: Router, clock: Clock, classes: dict[str, int], counts: Counter[str],
+                 most: int) -> None:
+        self.router, self.clock, self.classes, self.counts, self.most = router, clock, classes, counts, most
+        self.connections: dict[CallerConnection, None] = {}  # the one last heard of at the end
+        self.releases: dict[str, Release] = {}  # not sent yet, or not heard by the caller
+        clock.at(clock.now_us() + SWEEP_US, self._sweep)
 
-    def buildProtocol(self, addr: IAddress | None) -> CallerConnection:
-        """Twisted's hook for a new connection."""
+    def buildProtocol(self, addr: IAddress | None) -> CallerConnection | None:
+        """Twisted's hook for a new connection; None refuses it."""
+        if len(self.connections) >= self.most and not self._make_room():
+            self.counts["sip_connections_refused"] += 1
+            return None
         return CallerConnection(self)
 
+    def _make_room(self) -> bool:
+        """Close the connection that is least missed: guards the descriptors against those that only hold one.
+
+        The oldest that never said a word comes first, then the one that has been idle for longest.
+        """
+        now = self.clock.now_us()
+        spare = [c for c in self.connections if not c.machine.open and now - c.heard_us > FRESH_US]
+        if not spare:
+            return False
+        self.counts["sip_closed_for_room"] += 1
+        next((c for c in spare if not c.spoken), spare[0]).abort()
+        return True
+
+    def _sweep(self) -> None:
+        now = self.clock.now_us()
+        for connection in list(self.connections):
+            connection.check(now)
+        for call, release in list(self.releases.items()):
+            self._follow_up(call, release, now)
+        self.clock.at(now + SWEEP_US, self._sweep)
+
+    # ---- releases
+
     def release(self, call: str, cause: int, preferred: CallerConnection | None = None) -> None:
         """Release a call that stood, on its own connection or any other: none owns it."""
         self.counts["sip_releases_sent"] += 1
-        if preferred is not None and preferred in self.connections:
-            preferred.release(call, cause)
-        elif self.connections:
-            self.connections[-1].release(call, cause)
-        else:
-            self.releases.append((call, cause))
+        self.releases[call] = release = Release(cause, self.clock.now_us())
+        self._send(call, release, preferred)
+
+    def _send(self, call: str, release: Release, preferred: CallerConnection | None = None,
+              any_one: bool = False) -> None:
+        """Send it where it will be heard: on a connection where calls were answered, the latest in use.
+
+        Guards callers against others who connect and neither ask nor listen: releases told to those are lost.
+        """
+        def fit(c: CallerConnection) -> bool:
+            return c.usable() and c not in release.tried and (c.trusted or any_one)
+
+        if preferred is None or preferred not in self.connections or not fit(preferred):
+            preferred = next((c for c in reversed(self.connections) if fit(c)), None)
+        if preferred is None:
+            return  # the sweep tries again
+        release.tried.append(preferred)
+        release.sent_us = self.clock.now_us()
+        preferred.release(call, release.cause)
+
+    def _follow_up(self, call: str, release: Release, now: int) -> None:
+        if not release.tried:
+            self._send(call, release, any_one=now - release.asked_us >= SWEEP_US)
+        elif not self.counts["sip_releases_heard"] or len(release.tried) >= RELEASE_TRIES:
+            del self.releases[call]  # callers need not say that they heard one
+        elif now - release.sent_us > UNHEARD_US:
+            self.counts["sip_releases_repeated"] += 1
+            self._send(call, release)
 
 
 class CallerConnection(Conversation):
@@ -49,6 +121,10 @@
     def __init__(self, front: CallerFront) -> None:
         self.front, self.router, self.counts = front, front.router, front.counts
         self.machine = sip.Server()
+        self.heard_us = front.clock.now_us()  # when the latest whole message came, or the connection
+        self.partial_us: int | None = None  # since when a message is under way
+        self.ending_us: int | None = None
+        self.spoken = self.trusted = False  # a whole message came; a call was answered here
 
     def connectionMade(self) -> None:
         """Twisted's hook: the connection is up."""
@@ -56,23 +132,66 @@
         # Answers leave when a turn of the event loop ends: in a burst, reads of 64 KiB kept them too long.
         transport: Any = self.transport
         transport.bufferSize = READ_MOST
+        transport.registerProducer(Throttle(self, self.front.clock, self._paused), True)
         self.counts["sip_connections"] += 1
-        self.front.connections.append(self)
-        waiting, self.front.releases = self.front.releases, []
-        for call, cause in waiting:
-            self.release(call, cause)
+        self.front.connections[self] = None
+
+    def _paused(self) -> None:
+        self.counts["sip_pauses"] += 1
+
+    def usable(self) -> bool:
+        """Whether what is written here has a chance to be read."""
+        return self.ending_us is None and self.choked_us is None
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted's hook: its callers have given up what is open on it; calls that stand go on."""
-        if self in self.front.connections:
-            self.front.connections.remove(self)
+        self.front.connections.pop(self, None)
         for call in list(self.machine.open):
             del self.machine.open[call]
             self.router.cancel(call)
 
+    def check(self, now: int) -> None:
+        """Close the connection if it is of no use: each holds a descriptor, and some callers never let go."""
+        if self.ending_us is not None:
+            if now - self.ending_us > END_US:
+                self.abort()
+        elif self.choked_us is not None and now - self.choked_us > CHOKED_US:
+            self.counts["sip_closed_unread"] += 1
+            self.abort()
+        elif not self.spoken and now - self.heard_us > SPEAK_US:
+            self._end("sip_closed_silent")
+        elif self.partial_us is not None and now - self.partial_us > SPEAK_US:
+            self._end("sip_closed_half_sent")
+        elif not self.machine.open and now - self.heard_us > IDLE_US:
+            self._end("sip_closed_idle")
+
+    def _end(self, why: str) -> None:
+        """Answer what is open and close, not waiting for long until that is sent."""
+        self.counts[why] += 1
+        self.ending_us = self.front.clock.now_us()
+        for call in list(self.machine.open):
+            self.router.cancel(call)
+            self.machine.refuse(call, REFUSED)
+        self._flush()
+        self.close()
+
     def dataReceived(self, data: bytes) -> None:
         """Twisted's hook: bytes came."""
-        for event in self.machine.receive(data):
+        if self.ending_us is not None:
+            return
+        before = self.machine.messages
+        events = self.machine.receive(data)
+        whole = self.machine.messages > before
+        now = self.front.clock.now_us()
+        if not self.machine.partial:
+            self.partial_us = None
+        elif whole or self.partial_us is None:
+            self.partial_us = now
+        if whole:
+            self.heard_us, self.spoken = now, True
+            self.front.connections.pop(self, None)
+            self.front.connections[self] = None
+        for event in events:
             match event:
                 case sip.SetUp():
                     self._set_up(event)
@@ -86,32 +205,47 @@
                     self.router.hang_up(call, cause)
                 case sip.Acknowledged():
                     self.counts["sip_acknowledged"] += 1
+                case sip.ReleaseHeard(call):
+                    self.counts["sip_releases_heard"] += 1
+                    self.front.releases.pop(call, None)
                 case Malformed(reason):
-                    self.counts["sip_malformed"] += 1
                     log.warning("caller sent what cannot be read", reason=reason)
-                    self._flush()
-                    self.close()
+                    self._end("sip_malformed")
         self._flush()
 
     def _set_up(self, event: sip.SetUp) -> None:
         self.counts["sip_set_ups"] += 1
-        attrs = figures(event.attrs)
         service = self.front.classes.get(event.tier, -1)
-        if service < 0 or "dest" not in attrs:
+        request = self._read(event, service) if service >= 0 else None
+        if request is None:
             self.counts["sip_unplaceable"] += 1
             self.failed(event.call)
-            return
-        deadline_us = self.router.now_us() + event.wait_ms * 1000
-        request = Request(
-            event.call, service, event.tier, int(attrs["dest"]), event.number, deadline_us, event.description,
-            width=attrs.get("width", 1.0), transit=bool(attrs.get("transit")), via=int(attrs.get("via", -1)),
-            cut_before=bool(attrs.get("again")))
-        if not self.router.offer(request, self):
+        elif not self.router.offer(request, self):
+            # The id of a call in hand, on another connection: that call and its caller are not to be harmed.
             log.warning("a call in hand was offered again", call=event.call)
+            self.machine.refuse(event.call, BAD)
+
+    def _read(self, event: sip.SetUp, service: int) -> Request | None:
+        """Make a request of it; None where a figure is out of range: such a call must never stand."""
+        try:
+            attrs = figures(event.attrs, strict=True)
+        except Unreadable:
+            return None
+        dest, width, via = attrs.get("dest", -1.0), attrs.get("width", 1.0), attrs.get("via", -1.0)
+        now, longest = self.router.now_us(), self.router.settings.classes[service].deadline_us
+        if not (0 <= dest < 2**31 and dest.is_integer() and 0 < width <= WIDTH_MOST
+                and -1 <= via < 2**31 and via.is_integer() and event.wait_ms * 1000 <= DEADLINES * longest
+                and attrs.get("transit", 0) in (0, 1) and attrs.get("again", 0) in (0, 1)):
+            return None
+        return Request(
+            event.call, service, event.tier, int(dest), event.number,
+            now + min(event.wait_ms * 1000, longest), event.description, width=width,
+            transit=bool(attrs.get("transit")), via=int(via), cut_before=bool(attrs.get("again")))
 
     def answered(self, call: str, description: bytes) -> None:
         """The call stands."""
         if self.machine.answer(call, description):
+            self.trusted = True
             self.counts["sip_answers_sent"] += 1
         self._flush()
 
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from astertrack.core import Request, Router
-from astertrack.net.base import Conversation
+from astertrack.net.base import Conversation, Throttle
 from astertrack.net.clock import ReactorClock
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
@@ -43,15 +43,16 @@
     """All sockets; the core's Caller for the calls that came on any of them."""
 
     def __init__(self, router: Router, clock: ReactorClock, classes: dict[str, int], counts: Counter[str],
-                 path: str) -> None:
+                 path: str, most: int = CONNECTIONS_MOST) -> None:
         self.router, self.clock, self.classes, self.counts, self.path = router, clock, classes, counts, path
+        self.most = min(most, CONNECTIONS_MOST)
         self.sessions: set[Session] = set()
         self.calls: dict[str, ApiCall] = {}
         self.clock.at(self.clock.now_us() + SWEEP_US, self._sweep)
 
     def buildProtocol(self, addr: IAddress | None) -> Session | None:
         """Twisted's hook for a new connection; None refuses it."""
-        if len(self.sessions) >= CONNECTIONS_MOST:
+        if len(self.sessions) >= self.most:
             self.counts["ws_connections_refused"] += 1
             return None
         return Session(self)
@@ -166,7 +167,10 @@
         self.counts["ws_connections"] += 1
         self.front.sessions.add(self)
         if self.transport is not None:  # a client that does not read is not read either, until it does
-            self.transport.registerProducer(Throttle(self), True)
+            self.transport.registerProducer(Throttle(self, self.front.clock, self._paused), True)
+
+    def _paused(self) -> None:
+        self.counts["ws_pauses"] += 1
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted's hook: the connection has ended."""
@@ -215,27 +219,3 @@
         self.machine.close(ws.CloseCode.GOING_AWAY)
         self.write(self.machine.take())
         self.close()
-
-
-class Throttle:
-    """Twisted's producer for one socket: while the client does not read, nothing is read from it."""
-
-    def __init__(self, session: Session) -> None:
-        self.session = session
-
-    def _pass_on(self, name: str) -> None:
-        transport = self.session.transport
-        if transport is not None:
-            getattr(transport, name)()
-
-    def pauseProducing(self) -> None:
-        """Too much is waiting to be written."""
-        self.session.counts["ws_pauses"] += 1
-        self._pass_on("pauseProducing")
-
-    def resumeProducing(self) -> None:
-        """It has been written."""
-        self._pass_on("resumeProducing")
-
-    def stopProducing(self) -> None:
-        """The connection has ended."""
--- a/astertrack/wire/common.py
+++ b/astertrack/wire/common.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from types import MappingProxyType
 
 LIMIT = 16 * 1024  # octets of one message, on every wire
+ROOM = 1024  # octets of a message that a description leaves for what goes with it
+FIGURES_KEPT = 256  # characters of the longest text of figures that is remembered
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,19 +40,32 @@
     return int(raw)
 
 
-@lru_cache(maxsize=2048)
-def figures(raw: str) -> Mapping[str, float]:
-    """Read 'name:value;name:value'; a value that is no finite number is left out.
-
-    The same few texts come again and again: remembering them saves most of the work.
-    """
-    read = {}
-    for part in raw.split(";"):
+def _figures(raw: str) -> tuple[Mapping[str, float], bool]:
+    read: dict[str, float] = {}
+    sound = True
+    for part in raw.split(";") if raw else ():
         name, _, value = part.partition(":")
         try:
             number = float(value)
         except ValueError:
-            continue
-        if abs(number) < 1e15:  # neither infinite nor NaN
+            number = math.nan
+        if abs(number) < 1e15 and name.strip() not in read:  # neither infinite nor NaN
             read[name.strip()] = number
-    return MappingProxyType(read)
+        else:
+            sound = False
+    return MappingProxyType(read), sound
+
+
+_remembered = lru_cache(maxsize=2048)(_figures)
+
+
+def figures(raw: str, strict: bool = False) -> Mapping[str, float]:
+    """Read 'name:value;name:value'; a value that is no finite number is left out or, if strict, unreadable.
+
+    The same few texts come again and again: remembering them saves most of the work. Long ones are not
+    remembered: whoever sends them could fill the memory.
+    """
+    read, sound = (_remembered if len(raw) <= FIGURES_KEPT else _figures)(raw)
+    if strict and not sound:
+        raise Unreadable("a figure that is no number, or comes twice")
+    return read
--- a/astertrack/wire/sip.py
+++ b/astertrack/wire/sip.py
@@ -9,11 +9,12 @@
 import re
 from dataclasses import dataclass, field
 
-from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+from astertrack.wire.common import LIMIT, ROOM, Malformed, Unreadable, text, whole
 
 CALL_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
-REASONS = {100: "Trying", 200: "OK", 480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist",
-           487: "Request Terminated", 500: "Server Internal Error", 501: "Not Implemented",
+REASONS = {100: "Trying", 200: "OK", 400: "Bad Request", 480: "Temporarily Unavailable",
+           481: "Call/Transaction Does Not Exist", 487: "Request Terminated",
+           500: "Server Internal Error", 501: "Not Implemented",
            503: "Service Unavailable"}
 ECHOED = ("via", "from", "to", "call-id", "cseq")
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")  # what no header may hold; a search costs less than a loop
@@ -39,6 +40,11 @@
         self._scanned = 0
         self.broken = False
 
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return bool(self._buffer)
+
     def receive(self, data: bytes) -> list[Message | Malformed]:
         """Take bytes; return the messages that they complete."""
         events: list[Message | Malformed] = []
@@ -148,14 +154,31 @@
     call: str
 
 
-Event = SetUp | GivenUp | HungUp | Acknowledged | Malformed
+@dataclass(slots=True)
+class ReleaseHeard:
+    """The caller has heard our release of a call."""
+
+    call: str
+
+
+Event = SetUp | GivenUp | HungUp | Acknowledged | ReleaseHeard | Malformed
+
+
+@dataclass(slots=True)
+class Offer:
+    """A set-up that is not answered: the headers that its answer echoes, and what tells it from another."""
+
+    headers: dict[str, str]
+    uri: str
+    body: bytes
 
 
 @dataclass(slots=True)
 class Server:
     """One connection from callers: bytes in by receive, bytes out by take."""
 
-    open: dict[str, dict[str, str]] = field(default_factory=dict)  # headers of set-ups not answered, by call
+    open: dict[str, Offer] = field(default_factory=dict)  # set-ups not answered, by call
+    messages: int = 0  # whole ones that came
     _stream: Stream = field(default_factory=Stream)
     _out: bytearray = field(default_factory=bytearray)
 
@@ -165,17 +188,26 @@
         self._out.clear()
         return out
 
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return self._stream.partial
+
     def receive(self, data: bytes) -> list[Event]:
-        """Take bytes; return what the callers did. Tests are answered here."""
+        """Take bytes; return what the callers did. Tests, and what cannot be read, are answered here."""
         events: list[Event] = []
         for message in self._stream.receive(data):
             if isinstance(message, Malformed):
+                self._respond({}, 400)
                 events.append(message)
                 continue
+            self.messages += 1
             try:
                 event = self._event(message)
             except Unreadable as wrong:
                 self._stream.broken = True
+                if message.headers.get("call-id", "") not in self.open:  # else its own answer is still owed
+                    self._respond(message.headers, 400)
                 events.append(Malformed(str(wrong)))
                 break
             if event is not None:
@@ -184,7 +216,9 @@
 
     def _event(self, message: Message) -> Event | None:
         if message.status:
-            return None  # a response to a release of ours
+            call = message.headers.get("call-id", "")
+            ours = message.status < 300 and message.headers.get("cseq", "").endswith("BYE")
+            return ReleaseHeard(call) if ours else None
         if message.method == "OPTIONS":
             self._respond(message.headers, 200)
             return None
@@ -212,9 +246,14 @@
         if scheme != "sip":
             raise Unreadable("not a sip: address")
         wait = whole(message.headers.get("x-deadline", "missing"), "X-Deadline", 0, 10**9)
-        if call in self.open:
+        if (offer := self.open.get(call)) is not None:
+            if offer.uri != message.uri or offer.body != message.body:
+                raise Unreadable("the id of an open set-up with another description")
             return None  # the same set-up again on the same connection: its answer is still to come
-        self.open[call] = {name: message.headers[name] for name in ECHOED if name in message.headers}
+        if len(message.body) + len(address) > LIMIT - ROOM:
+            raise Unreadable("a set-up too long to be passed on")
+        self.open[call] = Offer({name: message.headers[name] for name in ECHOED if name in message.headers},
+                                message.uri, message.body)
         return SetUp(call, address.partition("@")[0], message.headers.get("x-tier", ""), wait,
                      message.headers.get("x-attrs", ""), message.body)
 
@@ -235,10 +274,10 @@
 
     def _final(self, call: str, status: int, more: list[tuple[str, str]] | None = None,
                body: bytes = b"") -> bool:
-        headers = self.open.pop(call, None)
-        if headers is None:
+        offer = self.open.pop(call, None)
+        if offer is None:
             return False
-        self._respond(headers, status, more, body)
+        self._respond(offer.headers, status, more, body)
         return True
 
     def _respond(self, headers: dict[str, str], status: int, more: list[tuple[str, str]] | None = None,
--- a/tests/test_call_front.py
+++ b/tests/test_call_front.py
@@ -5,37 +5,15 @@
 from collections import Counter
 from typing import Any, cast
 
+from drivers import Abortable, Seconds
 from test_router import World
 from test_websocket_codec import SHAKE, frame
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
 
-from astertrack.net.clock import ReactorClock
 from astertrack.net.websocket import CallFront, Session
 from astertrack.wire import callapi as api
 
 
-class Abortable(StringTransport):
-    """A transport that takes note of its abort."""
-
-    aborted = False
-
-    def abortConnection(self) -> None:
-        """Twisted's name for dropping a connection."""
-        self.aborted = True
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        """Not a socket."""
-
-
-class Seconds(ReactorClock):
-    """The reactor's clock taken for the Unix clock."""
-
-    def now_us(self) -> int:
-        """Return the instant."""
-        return int(self.reactor.seconds() * 1e6)
-
-
 def connect() -> tuple[Clock, Session, Any]:
     """One socket, shaken hands with."""
     reactor, transport = Clock(), cast(Any, Abortable)()
