Drop a peer's connection alone when it breaks: keep standing calls, try its set-ups again

Lines at fault: - peers.py closed a spoilt connection by loseConnection, which waits for the write buffer; links.py kept sending on it until then. Now it is given up at once, with one outcome for each set-up on it. - links.py reset(): any reset counted as the death of the peer and cut every call that stood there. PROTOCOL: no connection owns a call that stands; a refused dial proves that nothing runs. Now two refused dials in a row, or the bulletin, cut them. - A set-up open on a broken connection may have been answered unheard, and held circuits at the peer for nobody: it is released on the next connection, before anything else. - A message that stops short swallowed whatever came behind it: 300 ms now bound it. A set-up that no message holds raised in the middle of a decision. A new peer's link was made after the news that may use it.

Ruled out: standing calls lost by the resets themselves (the peers release them later as usual).

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -103,6 +103,7 @@
         for e in endpoints:
             log.info("peer", name=e.entry.exchange, number=e.entry.number, address=e.address,
                      state=e.entry.readiness.value, started_us=e.entry.started_us)
+        self.peers.add(endpoints)  # first: the news may free calls, which may go to a new peer at once
         self.router.set_roster(io.RosterChange(kind, tuple(e.entry for e in endpoints)))
         self.peers.update(endpoints, complete=kind is not io.RosterKind.UPDATE)
 
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -13,7 +13,7 @@
 from astertrack.net.links import Link
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
-from astertrack.wire.common import Malformed
+from astertrack.wire.common import LIMIT, Malformed
 from ospreylug import interface as io
 
 log = structlog.get_logger()
@@ -44,6 +44,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Twisted's hook: bytes came."""
+        if self.done:
+            return
         for event in self.machine.receive(data):
             match event:
                 case ws.Opened():
@@ -51,11 +53,15 @@
                 case ws.Text(raw):
                     self._text(raw)
                 case ws.Closed():
+                    self.write(self.machine.take())
                     self.close()
+                    self.link.leave(self)
                 case Malformed(reason):
                     self.link.counts["peer_malformed"] += 1
                     log.warning("destination sent what cannot be read", peer=self.link.name, reason=reason)
-                    self.close()
+                    self.link.drop(self)
+            if self.done:
+                return
         self.write(self.machine.take())
 
     def _text(self, raw: str) -> None:
@@ -80,12 +86,16 @@
     """The way to one destination."""
 
     path: str = "/calls"
+    # Not tried again there: the API's servers remember an id that was given up, and never set it up twice.
+    broken: io.Outcome = io.Outcome.NUMBER_FAULT
 
     def converse(self) -> ApiConnection:
         """Make the protocol of a new connection."""
         return ApiConnection(self)
 
     def _tell(self, message: api.Message) -> None:
+        if isinstance(message, api.SetUp) and len(api.write(message).encode()) > LIMIT:
+            raise ValueError("message too long")
         if isinstance(self.connection, ApiConnection):
             self.connection.tell(message)
 
@@ -109,9 +119,6 @@
         up = self.connection is not None
         self.clock.at(self.clock.now_us(), lambda: self.router.group_state(self.name, io.Load(), ok=up))
 
-    def reset(self) -> None:
-        """A socket does not own the calls that stand: they are resumed, or found to be unknown."""
-
     def resumed(self) -> None:
         """Ask for what became of the calls that stand."""
         for call, held in self.router.at_peer.get(self.name, {}).items():
@@ -126,20 +133,20 @@
                 self.open.discard(call)
                 self.router.answered(self.name, call, description.encode())
             case api.Refused(call, _, reason):
-                self._ended(call, io.Outcome.TURNED_AWAY, REASONS.get(reason, io.Cause.NONE))
+                self._over(call, io.Outcome.TURNED_AWAY, REASONS.get(reason, io.Cause.NONE))
             case api.Failed(call, reason):
-                self._ended(call, io.Outcome.NUMBER_FAULT, REASONS.get(reason, io.Cause.NONE))
+                self._over(call, io.Outcome.NUMBER_FAULT, REASONS.get(reason, io.Cause.NONE))
             case api.Cancelled(call):
-                self._ended(call, io.Outcome.CUT)
+                self._over(call, io.Outcome.CUT)
             case api.Released(call, cause):
-                self._ended(call, io.Outcome.OK if cause == NORMAL else io.Outcome.CUT)
+                self._over(call, io.Outcome.OK if cause == NORMAL else io.Outcome.CUT)
             case api.Error(code, reason, call):
                 log.warning("destination sent an error", peer=self.name, code=code, reason=reason, call=call)
                 if call is not None:  # the call is not there, or never will be
-                    self._ended(call, io.Outcome.CUT if code == "unknown-call" else io.Outcome.NUMBER_FAULT)
+                    self._over(call, io.Outcome.CUT if code == "unknown-call" else io.Outcome.NUMBER_FAULT)
             case api.State(free, size, hold_back):
                 self.router.group_state(self.name, io.Load(free=free, size=size, hold_back=hold_back))
 
-    def _ended(self, call: str, outcome: io.Outcome, cause: io.Cause = io.Cause.NONE) -> None:
+    def _over(self, call: str, outcome: io.Outcome, cause: io.Cause = io.Cause.NONE) -> None:
         self.open.discard(call)
         self.router.ended(self.name, call, AttemptEnd(outcome, cause))
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -13,14 +13,17 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
-from astertrack.core import AttemptEnd, Request, Router
+from astertrack.core import NORMAL, AttemptEnd, Request, Router
 from astertrack.core.model import Timer
 from astertrack.net.base import Conversation, failed_as
 from astertrack.net.clock import ReactorClock
 from ospreylug import interface as io
 
 log = structlog.get_logger()
-REDIAL_US = 500_000  # between dials to a peer that does not answer
+REDIAL_US = 250_000  # between dials to a peer that does not answer
+YOUNG_US = 100_000  # a connection that ended so soon is not dialled again at once
+REFUSALS = 2  # dials refused in a row: one may be a mishap, as a reset may be; two are a process that is gone
+OWED_US = 250_000  # how long the end of a broken set-up is worth telling: it may be sent again after 300 ms
 
 
 class Dialler(ClientFactory):
@@ -55,8 +58,11 @@
     retired: bool = False
     waiting: dict[str, tuple[Request, int]] = field(default_factory=dict)  # set-ups for when it is up
     open: set[str] = field(default_factory=set)  # set-ups written on the connection and not ended
-    owed: list[tuple[str, int, bool]] = field(default_factory=list)  # releases for when it is up
+    owed: list[tuple[str, int, bool, int]] = field(default_factory=list)  # releases for when it is up, since
+    broken: io.Outcome = io.Outcome.CUT  # how set-ups end whose connection did
     _dialling: Any = None
+    _refusals: int = 0
+    _up_us: int = 0
     _redial: Timer | None = None
 
     # ---- what the kinds say
@@ -93,15 +99,21 @@
 
     def wanted(self) -> bool:
         """Whether the connection serves a purpose: calls that stand are heard of on it."""
-        return not self.retired or bool(self.waiting or self.owed) or self.name in self.router.at_peer
+        return not self.retired
 
     def connected(self, connection: Conversation) -> None:
         """The connection is up: send what waits for it."""
-        self.connection, self._dialling = connection, None
+        if self.retired:
+            connection.done = True
+            connection.abort()
+            return
+        self.connection, self._dialling, self._refusals = connection, None, 0
+        self._up_us = now = self.clock.now_us()
         self.counts["peer_connections"] += 1
         owed, self.owed = self.owed, []
-        for call, cause, answered in owed:
-            self.send_release(call, cause, answered)
+        for call, cause, answered, since_us in owed:
+            if answered or now - since_us < OWED_US:
+                self.send_release(call, cause, answered)
         self.resumed()
         waiting, self.waiting = self.waiting, {}
         for request, deadline_us in waiting.values():
@@ -112,7 +124,8 @@
         self._dialling = None
         self.counts["peer_dials_refused" if refused else "peer_dials_timed_out"] += 1
         waiting, self.waiting = self.waiting, {}
-        if refused:
+        self._refusals = self._refusals + 1 if refused else 0
+        if self._refusals >= REFUSALS:
             self.owed.clear()
             self.router.peer_lost(self.name)  # no process, so none of its calls
         for call in waiting:
@@ -121,28 +134,43 @@
 
     def disconnected(self, connection: Conversation, reason: Failure) -> None:
         """The connection has ended, and with it the set-ups that were open on it."""
-        if connection is not self.connection:
-            if self.connection is None:  # it ended before it could be used
-                self.dial_failed(refused=False)
+        self.leave(connection, "peer_closes" if failed_as(reason, ConnectionDone) else "peer_resets")
+
+    def drop(self, connection: Conversation) -> None:
+        """Give up a connection on which something came spoilt or cut off: no more can be read on it."""
+        connection.abort()
+        self.leave(connection, "peer_drops")
+
+    def leave(self, connection: Conversation, why: str = "peer_closes") -> None:
+        """Count a connection as ended now: its close may wait, and set-ups must not be sent on it."""
+        if connection.done:
             return
+        connection.done = True
+        if connection is self.connection:
+            self._ended(why)
+        elif self.connection is None:  # it ended before it could be used
+            self.dial_failed(refused=False)
+
+    def _ended(self, why: str) -> None:
+        """The connection is no more. What stands goes on: no connection owns a call that stands.
+
+        Guards those calls against a reset, which alone does not prove that the process died: if it did, the
+        next dials are refused, or the bulletin tells. A set-up that was open may have been answered unheard:
+        the peer is told that it is over, or it would hold circuits for nobody.
+        """
         self.connection = None
-        clean = failed_as(reason, ConnectionDone)
-        self.counts["peer_closes" if clean else "peer_resets"] += 1
+        self.counts[why] += 1
+        now = self.clock.now_us()
         opened, self.open = self.open, set()
-        if not clean:
-            log.warning("peer reset its connection", peer=self.name,
-                        calls=len(self.router.at_peer.get(self.name, ())))
-            self.reset()
+        if why != "peer_closes":
+            log.warning("connection to a peer ended", peer=self.name, why=why, set_ups=len(opened))
+        self.owed += [(call, NORMAL, False, now) for call in opened]
         for call in opened:
-            self.router.ended(self.name, call, AttemptEnd(io.Outcome.CUT))
-        if clean:
-            self.dial()  # what concerns calls that stand is told on the next connection
-        else:
+            self.router.ended(self.name, call, AttemptEnd(self.broken))
+        if now - self._up_us < YOUNG_US:
             self._dial_later()
-
-    def reset(self) -> None:
-        """The peer reset the connection: a process that dies does so, and cuts its calls."""
-        self.router.peer_lost(self.name)
+        else:
+            self.dial()  # what concerns calls that stand is told on the next connection
 
     def _dial_later(self) -> None:
         if self._redial is None and self.wanted():
@@ -152,22 +180,44 @@
             self._redial = self.clock.at(self.clock.now_us() + REDIAL_US, again)
 
     def retire(self) -> None:
-        """The peer has left the list: its connection is closed once no call needs it."""
+        """The peer has left the list: nothing of it is kept, and nothing more is said to it.
+
+        Guards against links to machines long gone, which would dial for ever.
+        """
         self.retired = True
-        if self.connection is not None and not self.wanted():
-            self.connection.close()
+        self.owed.clear()
+        if self._redial is not None:
+            self._redial.cancel()
+            self._redial = None
+        if self._dialling is not None and self._dialling.state == "connecting":
+            self._dialling.stopConnecting()
+        self._dialling = None
+        waiting, self.waiting = self.waiting, {}
+        for call in waiting:
+            self.router.ended(self.name, call, AttemptEnd(io.Outcome.UNREACHABLE))
+        if self.connection is not None:
+            self.drop(self.connection)
+            self.owed.clear()
 
     # ---- calls
 
     def set_up(self, request: Request, deadline_us: int) -> None:
         """Send a set-up, once the connection is up."""
+        if self.retired:
+            self.router.ended(self.name, request.call, AttemptEnd(io.Outcome.UNREACHABLE))
+            return
         if self.connection is None:
             self.waiting[request.call] = (request, deadline_us)
             self.dial()
             return
         self.counts["peer_set_ups_sent"] += 1
+        try:
+            self.send_set_up(request, deadline_us)
+        except ValueError as wrong:  # no message holds it: it costs this call, not the others of its caller
+            log.warning("set-up that cannot be sent", peer=self.name, call=request.call, error=str(wrong))
+            self.router.ended(self.name, request.call, AttemptEnd(io.Outcome.NUMBER_FAULT))
+            return
         self.open.add(request.call)
-        self.send_set_up(request, deadline_us)
 
     def release(self, call: str, cause: int) -> None:
         """Give up a set-up, or release a call that stands."""
@@ -179,5 +229,5 @@
             self.counts["peer_releases_sent"] += 1
             self.send_release(call, cause, answered)
         elif answered:  # the call would stay up there, and hold its circuits
-            self.owed.append((call, cause, answered))
+            self.owed.append((call, cause, answered, self.clock.now_us()))
             self.dial()
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -20,6 +20,7 @@
 from ospreylug.wirehost import read_load
 
 log = structlog.get_logger()
+PARTIAL_US = 300_000  # a message of at most 16 KiB that is not whole by then will not be
 PROBE_US = 250_000  # a probe unanswered for so long has failed
 OUTCOMES = {34: io.Outcome.TURNED_AWAY, 17: io.Outcome.NUMBER_FAULT, 47: io.Outcome.NUMBER_FAULT,
             102: io.Outcome.NOT_SENT, CUT: io.Outcome.CUT, NORMAL: io.Outcome.OK}
@@ -42,6 +43,7 @@
     def __init__(self, link: PeerLink) -> None:
         self.link = link
         self.stream = wire.Stream()
+        self._partial: Timer | None = None  # runs while a message is under way
 
     def connectionMade(self) -> None:
         """Twisted's hook: the connection is up."""
@@ -50,7 +52,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Twisted's hook: bytes came."""
-        for message in self.stream.receive(data):
+        for message in self.stream.receive(data) if not self.done else ():
             try:
                 if isinstance(message, Malformed):
                     raise Unreadable(message.reason)
@@ -58,11 +60,28 @@
             except Unreadable as wrong:
                 self.link.counts["peer_malformed"] += 1
                 log.warning("peer sent what cannot be read", peer=self.link.name, reason=str(wrong))
-                self.stream.broken = True
-                self.close()
+                self.link.drop(self)
                 return
             if event is not None:
                 self.link.heard(event)
+            if self.done:
+                return
+        self._watch()
+
+    def _watch(self) -> None:
+        """Give up the connection when a message stops short: what follows would be taken for its rest."""
+        if self._partial is not None:
+            self._partial.cancel()
+            self._partial = None
+        if self.stream.partial:
+            clock = self.link.clock
+            self._partial = clock.at(clock.now_us() + PARTIAL_US, self._cut_short)
+
+    def _cut_short(self) -> None:
+        if not self.done:
+            self.link.counts["peer_cut_short"] += 1
+            log.warning("peer stopped short in a message", peer=self.link.name)
+            self.link.drop(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted's hook: the connection has ended."""
@@ -155,12 +174,16 @@
         for name in gone:
             self._drop(name)
         for endpoint in endpoints:
-            name = endpoint.entry.exchange
-            if endpoint.entry.readiness is io.Readiness.GONE or endpoint.entry.number == self.home:
-                continue
-            if self.addresses.get(name, endpoint.address) != endpoint.address:
-                self._drop(name)
-            if name not in self.links:
+            if self.addresses.get(endpoint.entry.exchange, endpoint.address) != endpoint.address:
+                self._drop(endpoint.entry.exchange)
+        self.add(endpoints)
+
+    def add(self, endpoints: list[Endpoint]) -> None:
+        """Make links to those that are new."""
+        for endpoint in endpoints:
+            name, entry = endpoint.entry.exchange, endpoint.entry
+            if entry.readiness is not io.Readiness.GONE and entry.number != self.home and (
+                    name not in self.links):
                 self.links[name] = self.make(endpoint)
                 self.addresses[name] = endpoint.address
 
--- a/astertrack/wire/peer.py
+++ b/astertrack/wire/peer.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from astertrack.wire.common import LIMIT, Malformed, Unreadable, text
+from astertrack.wire.common import LIMIT, ROOM, Malformed, Unreadable, text
 
 
 class Type(IntEnum):
@@ -64,6 +64,11 @@
         self._buffer = bytearray()
         self.broken = False
 
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return bool(self._buffer)
+
     def receive(self, data: bytes) -> list[Message | Malformed]:
         """Take bytes; return the messages that they complete."""
         events: list[Message | Malformed] = []
@@ -100,7 +105,9 @@
             at += 3
             if at + length > len(body):
                 raise Unreadable("a parameter longer than its message")
-            parameters.setdefault(code, body[at:at + length])
+            if code in parameters:
+                raise Unreadable("a parameter that comes twice")
+            parameters[code] = body[at:at + length]
             at += length
         return Message(body[0], body[1:9].hex(), parameters)
 
@@ -147,8 +154,13 @@
     parameters = message.parameters
     report = text(parameters.get(Code.REPORT, b""))
     cause = parameters.get(Code.CAUSE)
+    if message.type not in Type.__members__.values():
+        raise Unreadable("an unknown type of message")
     if message.type == Type.ANSWER:
-        return Answered(message.call, parameters.get(Code.DESCRIPTION, b""))
+        description = parameters.get(Code.DESCRIPTION)
+        if description is None or len(description) > LIMIT - ROOM:
+            raise Unreadable("an answer without a description that can be passed on")
+        return Answered(message.call, description)
     if message.type in (Type.RELEASE, Type.TEST_RESULT) and (cause is None or len(cause) != 1):
         raise Unreadable("a release or test result without a cause of one byte")
     if message.type == Type.RELEASE and cause:
--- a/ospreylug/logic.py
+++ b/ospreylug/logic.py
@@ -36,6 +36,8 @@
 KEPT_SHARE = 0.1  # of a group's circuits; at most so many are kept for classes worth more, but one (ours)
 HINT_MOST = 0.95  # share; a report that asks to hold back more counts as this (ours)
 HELD = "held "  # start of the timer's token of a call that is held
+AGAIN = "again "  # and of one whose set-up broke on its way
+BROKEN_TRIES = 2  # further attempts after set-ups that broke; a far end may break them all (ours)
 RATE_MEMORY = 0.2  # weight of the newest period in the set-ups seen to go to a processor (ours)
 
 
@@ -171,8 +173,9 @@
 class Call:
     """One call in hand."""
 
-    __slots__ = ("aim_us", "attempt", "deadline_us", "doubt", "doubt_us", "held_at", "kept", "late",
-                 "not_before_us", "offer", "over", "sent_us", "service", "taken_us", "tried", "via", "worth")
+    __slots__ = ("aim_us", "attempt", "broken", "deadline_us", "doubt", "doubt_us", "held_at", "kept", "late",
+                 "not_before_us", "offer", "over", "sent_us", "service", "taken_us", "tried", "via", "waits",
+                 "worth")
 
     def __init__(self, offer: io.CallOffered, service: io.ServiceClass, now_us: int) -> None:
         self.offer, self.service, self.taken_us, self.deadline_us = offer, service, now_us, offer.deadline_us
@@ -185,6 +188,8 @@
         self.late = False  # a redial past the aim of its first try
         self.kept = 0.0  # circuits to be left free for classes worth clearly more
         self.over = False
+        self.waits = False  # for the release of a set-up that broke
+        self.broken = 0  # set-ups of it that broke
         self.worth = worth_a_circuit(service)
         self.held_at = -1  # number of the exchange whose circuits it waits for
 
@@ -244,6 +249,10 @@
                 call = self.calls.get(event.token.removeprefix(HELD))
                 if call is not None and call.via is None and event.token.startswith(HELD):
                     self._refuse(call)  # held long enough
+                call = self.calls.get(event.token.removeprefix(AGAIN))
+                if call is not None and call.waits and event.token.startswith(AGAIN):
+                    call.waits = False
+                    self._place(call)
             case io.PeerMessage():
                 pass
         return self.actions
@@ -590,12 +599,34 @@
         elif call.offer.transit or cause in (Cause.CRANKBACK_FULL, Cause.LINES_BUSY) or (
                 cause is Cause.PROCESSOR_FULL and not tandem_full):
             self._refuse(call)
+        elif outcome in (Outcome.CUT, Outcome.UNREACHABLE) and self._broke(call, far, outcome):
+            pass
         elif outcome in (Outcome.TURNED_AWAY, Outcome.NOT_SENT) and len(call.tried) <= FURTHER_ATTEMPTS + (
                 self.own is Grade.LIGHT):
             self._place(call)
         else:
             self._refuse(call)
 
+    def _broke(self, call: Call, far: Far, outcome: Outcome) -> bool:
+        """Place a call again whose set-up broke on its way, the same route included; False: not any more.
+
+        Neither exchange was full: what broke was a connection. It waits for the release of what may have run.
+        Covers spoilt answers, resets and peers that closed; harm: more work for an exchange that breaks all.
+        """
+        call.broken += 1
+        if call.broken > BROKEN_TRIES or call.late:
+            return False
+        if outcome is Outcome.UNREACHABLE:  # nothing ran, and nothing runs there now: another route, at once
+            self._place(call)
+            return True
+        until = min(call.deadline_us, call.aim_us) - SET_UP_LEASTS * far.least_us.get(call.offer.dest, 0.0)
+        if call.not_before_us >= until or not self._may_repeat(call, far):
+            return False
+        call.tried.remove(far.entry.number)
+        call.waits = True
+        self.actions.append(io.SetTimer(AGAIN + call.offer.call, call.not_before_us))
+        return True
+
     def _block(self, tandem: int, dest: int) -> None:
         """A tandem turned a call back: it rests for that destination, twice as long after each in a row.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,6 +3,7 @@
 import pytest
 from helpers import ORDINARY, SECOND, URGENT, Stage, entries, refused, sent_to, settings
 
+from ospreylug import Controller
 from ospreylug import interface as io
 from ospreylug.logic import (
     BUSY_NUMBER_US,
@@ -724,3 +725,37 @@
     stage = Stage(settings(max_caller_wait_us=2 * SECOND))
     _, actions = stage.offer(9)
     assert [a.wait_us for a in actions if isinstance(a, io.Refuse)] == [0]
+
+
+def broken_call() -> tuple[Controller, list[io.Action]]:
+    """A call whose set-up broke on its way, and what that led to."""
+    controller = Controller(settings(release_us=300_000, callers_wait=True, max_caller_wait_us=SECOND), 1)
+    roster = (io.Entry("x0", 0, 0), io.Entry("x1", 1, 0))
+    controller.handle(0, io.RosterChange(io.RosterKind.RESTORED, roster))
+    sent = controller.handle(0, io.CallOffered("c", 0, 1, "5", 9 * SECOND))
+    assert any(isinstance(action, io.SetUp) for action in sent)
+    return controller, controller.handle(10_000, io.AttemptEnded("c", 0, "x1", io.Outcome.CUT, 10_000, False))
+
+
+def test_a_set_up_that_broke_is_sent_again_on_the_same_route_after_the_release() -> None:
+    controller, actions = broken_call()
+    assert actions == [io.SetTimer("again c", 310_000)]
+    again = controller.handle(310_000, io.TimerDue("again c"))
+    assert [action.exchange for action in again if isinstance(action, io.SetUp)] == ["x1"]
+
+
+def test_a_far_end_that_breaks_every_set_up_is_left_alone_and_the_call_answered_at_once() -> None:
+    controller, _ = broken_call()
+    now = 310_000
+    for attempt in (1, 2):
+        controller.handle(now, io.TimerDue("again c"))
+        last = controller.handle(now, io.AttemptEnded("c", attempt, "x1", io.Outcome.CUT, 0, False))
+        now += 300_000
+    assert [type(action) for action in last] == [io.Refuse]
+
+
+def test_a_caller_who_leaves_while_a_broken_set_up_is_awaited_is_forgotten() -> None:
+    controller, _ = broken_call()
+    controller.handle(20_000, io.CallerGone("c"))
+    assert not controller.handle(310_000, io.TimerDue("again c"))
+    assert not controller.calls
