End 3.2 s after SIGTERM though calls stand, and pass on releases of calls from before a restart

So: ends of calls that stand are passed on until 3.2 s, then the program ends by itself, with its store and counters written.

From reading: a caller's release of a call that stood before the restart was told to nobody, and the call stood on at its peer.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -24,6 +24,7 @@
 
 log = structlog.get_logger()
 LAST_CALLERS_US = 900_000  # after SIGTERM connections and set-ups still come: 0.4 s and 0.2 s, with some room
+STANDING_US = 3_200_000  # how long the program's end waits for calls that stand; SIGKILL comes after 3.7 s
 CHECK_US = 50_000  # how often it is looked whether all calls are over
 STORE_US = 2_000_000  # how long the program's end waits for the store
 LISTEN_BACKLOG = 512
@@ -53,7 +54,7 @@
         self.bulletin = Bulletin(config.bulletin, config.known_last, config.zones, config.kinds, self.clock,
                                  self.counts, lambda complete, changed: self._roster(
                                      io.RosterKind.REPLACE if complete else io.RosterKind.UPDATE, changed))
-        self.stopping = False
+        self.stop_us: int | None = None  # when it was told to stop
 
     def _link(self, endpoint: Endpoint) -> Link:
         name, dial_us = endpoint.entry.exchange, self.config.dial_us
@@ -121,10 +122,10 @@
 
     def stop(self) -> None:
         """Finish what is taken, and take what still comes, as the platform has it at a planned restart."""
-        if self.stopping:
+        if self.stop_us is not None:
             return
-        self.stopping = True
-        log.info("stopping", calls=len(self.router.calls))
+        self.stop_us = self.clock.now_us()
+        log.info("stopping", calls=len(self.router.calls), unanswered=self.router.unanswered())
         self.clock.at(self.clock.now_us() + LAST_CALLERS_US, self._close)
 
     def _close(self) -> None:
@@ -133,11 +134,16 @@
         self._finish()
 
     def _finish(self) -> None:
-        if self.router.calls:
+        # Calls that stand need no router: peers release them to the next one. Ends are passed on for a while,
+        # but not until the platform's SIGKILL, which would leave the store and the counters unwritten.
+        standing = self.router.calls and self.clock.now_us() < (self.stop_us or 0) + STANDING_US
+        if standing or self.router.unanswered():
             self.clock.at(self.clock.now_us() + CHECK_US, self._finish)
         elif self.reactor.running:
             for session in list(self.call_front.sessions) if self.call_front is not None else ():
                 session.go_away()
+            for connection in list(self.front.connections):
+                connection.close()
             self.clock.at(self.clock.now_us() + STORE_US, self._abandon_store)
             self.store.close().addCallback(
                 lambda _: self.clock.at(self.clock.now_us() + CHECK_US, self.reactor.stop))
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -121,6 +121,13 @@
     def hang_up(self, name: str, cause: int) -> bool:
         """The caller releases a call that stands; False if there is none."""
         call = self.calls.get(name)
+        if call is None and self._seen is not None and name not in self._seen:
+            # It stood before a restart, at a peer that only the process before knew: else it would stand on.
+            self._seen.add(name)
+            self.counts["releases_of_before"] += 1
+            for peer in self.roster:
+                self.peers.release(peer, name, cause)
+            return False
         if call is None or not call.standing or call.attempt is None:
             return False
         self.counts["releases_by_caller"] += 1
@@ -128,6 +135,10 @@
         self._over(call, AttemptEnd(io.Outcome.OK if cause == NORMAL else io.Outcome.CUT))
         return True
 
+    def unanswered(self) -> int:
+        """Return how many calls wait for their final answer."""
+        return sum(not call.standing for call in self.calls.values())
+
     # ---- what peers do
 
     def answered(self, peer: str, name: str, description: bytes) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -232,3 +232,31 @@
             assert counts["calls_in_hand"] == 0
             assert counts["final_answered"] == 2
     run(work)
+
+
+def test_sigterm_does_not_wait_for_calls_that_stand_until_it_is_killed() -> None:
+    async def work() -> None:
+        node = await BinaryNode().start()
+        async with program({1: node}) as router:
+            sip, call = await SipCaller.connect(router.port), fresh()
+            sip.invite(call, "long-1", 1)
+            await until(lambda: call in sip.finals)
+            counts = await router.counts()
+            assert counts["calls_in_hand"] == 1
+            assert call in node.standing  # it goes on: the peer releases it to the next process
+            assert not sip.byes
+    run(work)
+
+
+def test_a_caller_releases_a_call_that_stood_before_a_restart() -> None:
+    async def work() -> None:
+        node = await BinaryNode().start()
+        async with program({1: node}) as router:
+            sip, call, own = await SipCaller.connect(router.port), fresh(), fresh()
+            sip.invite(own, "fault-1", 1)
+            await until(lambda: own in sip.finals)
+            sip.ask("BYE", own)  # of this process, and over: nothing is to be released
+            sip.ask("BYE", call)
+            await until(lambda: call in {c for c, _ in node.released})
+            assert own not in {c for c, _ in node.released}
+    run(work)
