Give up silent peer connections, and make room for callers without losing their answers

Silent connections. Ruled out: a peer that died (its other sockets were served). links.py had no notion of silence. Now a peer quiet for 1 s is tested, after 2.5 s its connection is given up for a new one, and calls that stand there are released after 6.75 s without a byte (8 s after their end are allowed), towards the peer too once it is back.

Checked: an aborted connection holds its descriptor until the reactor's next turn and stayed the first choice of _make_room until then; 100 are accepted in one turn. Now quiet counts from what was heard or said, the close is orderly, bytes not yet read keep a connection.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -40,7 +40,7 @@
         self.counts: Counter[str] = Counter()
         self.clock = ReactorClock(reactor)
         self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
-        self.peers = PeerTable(self._link, config.settings.home)
+        self.peers = PeerTable(self._link, config.settings.home, self.clock)
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info,
                              self.store.record, self._orphaned)
         self.router.counts = self.counts
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -185,11 +185,12 @@
     def _no_more_orphans(self) -> None:
         self._seen = None
 
-    def peer_lost(self, peer: str) -> None:
-        """A peer's process has died, and all its calls with it: nobody else will release them."""
-        for call in list(self.at_peer.get(peer, {}).values()):
-            if call.standing:
-                self._cut_or_ended(call, AttemptEnd(io.Outcome.CUT))
+    def peer_lost(self, peer: str) -> list[str]:
+        """A peer's process has died, and its calls with it: nobody else will release them. Returns them."""
+        lost = [call for call in self.at_peer.get(peer, {}).values() if call.standing]
+        for call in lost:
+            self._cut_or_ended(call, AttemptEnd(io.Outcome.CUT))
+        return [call.request.call for call in lost]
 
     def group_state(self, peer: str, load: io.Load, ok: bool = True, delay_us: int = 0) -> None:
         """A peer told the state of the group towards it, or answered a probe."""
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -46,6 +46,7 @@
         """Twisted's hook: bytes came."""
         if self.done:
             return
+        self.link.alive()
         for event in self.machine.receive(data):
             match event:
                 case ws.Opened():
@@ -75,6 +76,11 @@
         """Twisted's hook: the connection has ended."""
         self.link.disconnected(self, reason)
 
+    def ping(self) -> None:
+        """Ask for a sign of life."""
+        self.machine.ping()
+        self.write(self.machine.take())
+
     def tell(self, message: api.Message) -> None:
         """Send a message."""
         self.machine.send(api.write(message))
@@ -115,8 +121,10 @@
         self._tell(api.Release(call, cause) if answered else api.Cancel(call))
 
     def probe(self) -> None:
-        """Answer for the socket: a ping tells nothing of a processor, so it is not sent."""
+        """Ask the socket for a sign of life, and answer for it: a ping tells nothing of a processor."""
         up = self.connection is not None
+        if isinstance(self.connection, ApiConnection):
+            self.connection.ping()
         self.clock.at(self.clock.now_us(), lambda: self.router.group_state(self.name, io.Load(), ok=up))
 
     def resumed(self) -> None:
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import islice, takewhile
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
 import structlog
@@ -26,6 +28,7 @@
 CHOKED_US = 2_000_000  # one that does not read what it is sent
 END_US = 500_000  # how long a connection that is closed may take to send what is left
 FRESH_US = 100_000  # a connection so young is not given up for another
+LOOKED_AT = 32  # connections among which the one least missed is sought: all would take too long in a crowd
 UNHEARD_US = 350_000  # a release that the caller has not heard by then is sent on another connection
 RELEASE_TRIES = 3
 WIDTH_MOST = 64.0  # circuits
@@ -48,13 +51,15 @@
     def __init__(self, router: Router, clock: Clock, classes: dict[str, int], counts: Counter[str],
                  most: int) -> None:
         self.router, self.clock, self.classes, self.counts, self.most = router, clock, classes, counts, most
-        self.connections: dict[CallerConnection, None] = {}  # the one last heard of at the end
+        self.connections: dict[CallerConnection, None] = {}  # the one quiet for longest first
         self.releases: dict[str, Release] = {}  # not sent yet, or not heard by the caller
+        self.held = 0  # descriptors: a connection given up holds its own until the reactor's next turn
         clock.at(clock.now_us() + SWEEP_US, self._sweep)
 
     def buildProtocol(self, addr: IAddress | None) -> CallerConnection | None:
         """Twisted's hook for a new connection; None refuses it."""
-        if len(self.connections) >= self.most and not self._make_room():
+        crowded = self.held >= self.most + max(8, self.most // 4)  # those given up may still be there
+        if crowded or (len(self.connections) >= self.most and not self._make_room()):
             self.counts["sip_connections_refused"] += 1
             return None
         return CallerConnection(self)
@@ -65,11 +70,12 @@
         The oldest that never said a word comes first, then the one that has been idle for longest.
         """
         now = self.clock.now_us()
-        spare = [c for c in self.connections if not c.machine.open and now - c.heard_us > FRESH_US]
+        old = takewhile(lambda c: now - c.quiet_us > FRESH_US, self.connections)
+        spare = list(islice((c for c in old if not c.machine.open and not c.unread()), LOOKED_AT))
         if not spare:
             return False
         self.counts["sip_closed_for_room"] += 1
-        next((c for c in spare if not c.spoken), spare[0]).abort()
+        next((c for c in spare if not c.spoken), spare[0]).leave()
         return True
 
     def _sweep(self) -> None:
@@ -121,7 +127,7 @@
     def __init__(self, front: CallerFront) -> None:
         self.front, self.router, self.counts = front, front.router, front.counts
         self.machine = sip.Server()
-        self.heard_us = front.clock.now_us()  # when the latest whole message came, or the connection
+        self.quiet_us = front.clock.now_us()  # since when nothing whole came and nothing was said
         self.partial_us: int | None = None  # since when a message is under way
         self.ending_us: int | None = None
         self.spoken = self.trusted = False  # a whole message came; a call was answered here
@@ -135,6 +141,28 @@
         transport.registerProducer(Throttle(self, self.front.clock, self._paused), True)
         self.counts["sip_connections"] += 1
         self.front.connections[self] = None
+        self.front.held += 1
+
+    def unread(self) -> bool:
+        """Whether bytes have come that were not read yet.
+
+        Guards a set-up that a busy router has not seen: closing now would lose it, and only one that crosses
+        the close within 50 ms is sent again.
+        """
+        socket = getattr(self.transport, "socket", None)
+        try:
+            return socket is not None and bool(socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def leave(self) -> None:
+        """Drop the connection, and count it as ended now: many may come before its end is noticed."""
+        self.front.connections.pop(self, None)
+        self.ending_us = self.front.clock.now_us()
+        if self.choked_us is None:
+            self.close()  # an abort could take with it what the caller has not read yet
+        else:
+            self.abort()
 
     def _paused(self) -> None:
         self.counts["sip_pauses"] += 1
@@ -146,6 +174,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted's hook: its callers have given up what is open on it; calls that stand go on."""
         self.front.connections.pop(self, None)
+        self.front.held -= 1
         for call in list(self.machine.open):
             del self.machine.open[call]
             self.router.cancel(call)
@@ -158,11 +187,11 @@
         elif self.choked_us is not None and now - self.choked_us > CHOKED_US:
             self.counts["sip_closed_unread"] += 1
             self.abort()
-        elif not self.spoken and now - self.heard_us > SPEAK_US:
+        elif not self.spoken and now - self.quiet_us > SPEAK_US:
             self._end("sip_closed_silent")
         elif self.partial_us is not None and now - self.partial_us > SPEAK_US:
             self._end("sip_closed_half_sent")
-        elif not self.machine.open and now - self.heard_us > IDLE_US:
+        elif not self.machine.open and now - self.quiet_us > IDLE_US and not self.unread():
             self._end("sip_closed_idle")
 
     def _end(self, why: str) -> None:
@@ -188,9 +217,8 @@
         elif whole or self.partial_us is None:
             self.partial_us = now
         if whole:
-            self.heard_us, self.spoken = now, True
-            self.front.connections.pop(self, None)
-            self.front.connections[self] = None
+            self.spoken = True
+            self._stir(now)
         for event in events:
             match event:
                 case sip.SetUp():
@@ -270,5 +298,13 @@
         self.machine.release(call, cause)
         self._flush()
 
+    def _stir(self, now: int) -> None:
+        self.quiet_us = now
+        if self.front.connections.pop(self, self) is None:
+            self.front.connections[self] = None
+
     def _flush(self) -> None:
-        self.write(self.machine.take())
+        """Write what is to be said. Not quiet then: a connection just answered on is not closed for room."""
+        if data := self.machine.take():
+            self._stir(self.front.clock.now_us())
+            self.write(data)
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
-from astertrack.core import NORMAL, AttemptEnd, Request, Router
+from astertrack.core import CUT, NORMAL, AttemptEnd, Request, Router
 from astertrack.core.model import Timer
 from astertrack.net.base import Conversation, failed_as
 from astertrack.net.clock import ReactorClock
@@ -23,6 +23,10 @@
 REDIAL_US = 250_000  # between dials to a peer that does not answer
 YOUNG_US = 100_000  # a connection that ended so soon is not dialled again at once
 REFUSALS = 2  # dials refused in a row: one may be a mishap, as a reset may be; two are a process that is gone
+QUIET_US = 1_000_000  # a peer from which nothing came for so long is tested: usually it tells of its groups
+SILENT_US = 2_500_000  # and without a word to that its connection is given up: another may work
+LOST_US = 6_750_000  # calls that stood there are released: they must be 8 s after their end, if unheard
+WATCH_US = 250_000  # how often it is looked
 OWED_US = 250_000  # how long the end of a broken set-up is worth telling: it may be sent again after 300 ms
 
 
@@ -63,6 +67,8 @@
     _dialling: Any = None
     _refusals: int = 0
     _up_us: int = 0
+    _heard_us: int = 0  # when the latest bytes came
+    _asked: bool = False  # whether it was tested since
     _redial: Timer | None = None
 
     # ---- what the kinds say
@@ -88,6 +94,27 @@
 
     # ---- the connection
 
+    def alive(self) -> None:
+        """Bytes came from the peer."""
+        self._heard_us, self._asked = self.clock.now_us(), False
+
+    def watch(self) -> None:
+        """Notice a peer that says nothing: a connection may stay open though nothing comes on it any more.
+
+        Guards the set-ups behind it, and the calls that stand there: they end unheard, and are to be released
+        towards their callers all the same.
+        """
+        now = self.clock.now_us()
+        if self.connection is not None and now - max(self._heard_us, self._up_us) > SILENT_US:
+            self.counts["peer_silent"] += 1
+            self.drop(self.connection)
+        elif self.connection is not None and now - self._heard_us > QUIET_US and not self._asked:
+            self._asked = True
+            self.probe()
+        if now - self._heard_us > LOST_US and (calls := self.router.peer_lost(self.name)):
+            log.warning("calls at a silent peer are given up", peer=self.name, calls=len(calls))
+            self.owed += [(call, CUT, True, now) for call in calls]
+
     def dial(self) -> None:
         """Connect, unless a connection is up or coming."""
         if self.connection is not None or self._dialling is not None or not self.wanted():
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -11,9 +11,9 @@
 from twisted.python.failure import Failure
 
 from astertrack.core import CUT, NORMAL, AttemptEnd, Request
-from astertrack.core.model import Timer
+from astertrack.core.model import Clock, Timer
 from astertrack.net.base import Conversation
-from astertrack.net.links import Link
+from astertrack.net.links import WATCH_US, Link
 from astertrack.wire import peer as wire
 from astertrack.wire.common import Malformed, Unreadable, figures
 from ospreylug import interface as io
@@ -52,6 +52,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Twisted's hook: bytes came."""
+        self.link.alive()
         for message in self.stream.receive(data) if not self.done else ():
             try:
                 if isinstance(message, Malformed):
@@ -160,11 +161,17 @@
 class PeerTable:
     """The core's Peers port: the links, by name."""
 
-    def __init__(self, make: Callable[[Endpoint], Link], home: int) -> None:
-        self.make, self.home = make, home
+    def __init__(self, make: Callable[[Endpoint], Link], home: int, clock: Clock) -> None:
+        self.make, self.home, self.clock = make, home, clock
         self.links: dict[str, Link] = {}
+        clock.at(clock.now_us() + WATCH_US, self._watch)
         self.addresses: dict[str, str] = {}
 
+    def _watch(self) -> None:
+        for link in list(self.links.values()):
+            link.watch()
+        self.clock.at(self.clock.now_us() + WATCH_US, self._watch)
+
     def update(self, endpoints: list[Endpoint], complete: bool) -> None:
         """Follow the list. A peer at a new address is a new machine; one's name is kept on a restart."""
         named = {e.entry.exchange for e in endpoints}
