--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 from twisted.internet.interfaces import IAddress
@@ -26,6 +26,9 @@
 SWEEP_US = 5_000_000  # how often what is too old is forgotten
 PING_US = 20_000_000  # a silent socket is asked for a sign of life
 SILENT_US = 60_000_000  # and given up after so long
+WATCH_US = 250_000  # how often sockets are looked at
+WHOLE_US = 2_400_000  # a handshake or message not whole by then closes its socket, as on the SIP front
+CHOKED_US = 10_000_000  # a client that does not read for so long is given up: what waits for it is bounded
 CONNECTIONS_MOST = 256
 FINAL = (api.Refused, api.Failed, api.Cancelled, api.Released)
 
@@ -36,6 +39,7 @@
 
     session: Session | None
     told: api.Message
+    asked: api.SetUp
     ended_us: int | None = None  # None: in hand
 
 
@@ -49,6 +53,7 @@
         self.sessions: set[Session] = set()
         self.calls: dict[str, ApiCall] = {}
         self.clock.at(self.clock.now_us() + SWEEP_US, self._sweep)
+        self.clock.at(self.clock.now_us() + WATCH_US, self._watch)
 
     def buildProtocol(self, addr: IAddress | None) -> Session | None:
         """Twisted's hook for a new connection; None refuses it."""
@@ -58,20 +63,29 @@
         return Session(self)
 
     def _sweep(self) -> None:
-        """Forget what ended long ago, and sockets that have died without a word."""
+        """Forget what ended long ago."""
         now = self.clock.now_us()
         old = now - KEPT_US
         for call in [n for n, c in self.calls.items() if c.ended_us is not None and c.ended_us <= old]:
             del self.calls[call]
+        self.clock.at(now + SWEEP_US, self._sweep)
+
+    def _watch(self) -> None:
+        """Give up sockets that have died without a word, or never say a whole one."""
+        now = self.clock.now_us()
         for session in list(self.sessions):
             session.check(now)
-        self.clock.at(now + SWEEP_US, self._sweep)
+        self.clock.at(now + WATCH_US, self._watch)
 
     # ---- what clients ask
 
     def asked(self, session: Session, request: api.Request) -> None:
         """Act on a client's message."""
         call = self.calls.get(request.id)
+        if isinstance(request, api.SetUp) and call is not None and (
+                replace(request, deadline=0) != replace(call.asked, deadline=0)):
+            # Another call under an id in use: neither that call nor its client is to be harmed by it.
+            raise api.BadMessage("id-in-use", "another call has this id", request.id)
         if isinstance(request, api.SetUp) and call is None:
             self._set_up(session, request)
         elif call is None:
@@ -102,7 +116,7 @@
         now = self.router.now_us()
         longest = now + self.router.settings.classes[service].deadline_us
         self.counts["ws_set_ups"] += 1
-        self.calls[asked.id] = call = ApiCall(session, api.Progress(asked.id))
+        self.calls[asked.id] = call = ApiCall(session, api.Progress(asked.id), asked)
         self.router.offer(Request(
             asked.id, service, asked.service, asked.dest, asked.number, min(asked.deadline * 1000, longest),
             asked.description.encode(), asked.width, transit=asked.transit, via=asked.via,
@@ -159,7 +173,8 @@
         self.front, self.counts = front, front.counts
         self.machine = ws.WebSocket(ws.Role.SERVER, front.path)
         self.heard_us = front.clock.now_us()
-        self.busy = False
+        self.partial_us: int | None = self.heard_us  # since when something is under way
+        self.pinged = self.busy = False
 
     def connectionMade(self) -> None:
         """Twisted's hook: the connection is up."""
@@ -178,9 +193,14 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Twisted's hook: bytes came."""
-        self.heard_us = self.front.clock.now_us()
-        self.busy = True
-        for event in self.machine.receive(data):
+        self.heard_us = now = self.front.clock.now_us()
+        self.pinged, self.busy = False, True
+        events = self.machine.receive(data)
+        if not self.machine.partial:
+            self.partial_us = None
+        elif events or self.partial_us is None:
+            self.partial_us = now
+        for event in events:
             match event:
                 case ws.Text(raw):
                     self._text(raw)
@@ -208,9 +228,14 @@
 
     def check(self, now_us: int) -> None:
         """Ask a silent socket for a sign of life, and give one up that has been silent for long."""
-        if now_us - self.heard_us > SILENT_US:
+        choked = self.choked_us is not None and now_us - self.choked_us > CHOKED_US
+        if choked or now_us - self.heard_us > SILENT_US:
+            self.abort()
+        elif self.partial_us is not None and now_us - self.partial_us > WHOLE_US:
+            self.counts["ws_closed_half_sent"] += 1
             self.abort()
-        elif now_us - self.heard_us > PING_US:
+        elif now_us - self.heard_us > PING_US and not self.pinged:
+            self.pinged = True
             self.machine.ping()
             self.write(self.machine.take())
 
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -139,7 +139,7 @@
 TEXT_MOST = {"number": 128, "service": 64, "code": 64, "reason": 512, "description": LIMIT}
 WHOLE = {"dest": (0, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
          "cause": (1, 127)}
-NUMBERS = {"width": (1e-6, 1e6), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
+NUMBERS = {"width": (1e-6, 64.0), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
 FLAGS = ("transit", "again")
 NEEDED: dict[type[Any], tuple[str, ...]] = {
     SetUp: ("id", "service", "number", "dest", "deadline"), Error: ("code", "reason"), State: ()}
--- a/astertrack/wire/websocket.py
+++ b/astertrack/wire/websocket.py
@@ -120,6 +120,11 @@
         self._parts: bytearray | None = None  # of a message in fragments
         self._key = ""
 
+    @property
+    def partial(self) -> bool:
+        """Whether a handshake, a frame or a message in fragments has begun and not ended."""
+        return self.state is State.CONNECTING or bool(self._buffer) or self._parts is not None
+
     def take(self) -> bytes:
         """Return what is to be written, once."""
         out = bytes(self._out)
--- a/ospreylug/logic.py
+++ b/ospreylug/logic.py
@@ -53,7 +53,7 @@
     """What this controller knows of one far exchange, or pool."""
 
     __slots__ = ("best", "cold_next_us", "entry", "free", "grade", "least_us", "out", "passed_us", "periods",
-                 "proven", "rate", "samples", "sent", "size", "sum_delay", "sum_least")
+                 "proven", "rate", "samples", "sent", "settled", "size", "sum_delay", "sum_least")
 
     def __init__(self, entry: io.Entry) -> None:
         self.entry = entry
@@ -62,7 +62,7 @@
         self.size: float | None = None
         self.least_us: dict[int, float] = {}  # by destination: a two-leg route has a longer floor
         self.out: dict[str, Call] = {}  # set-ups sent and not yet answered, oldest first
-        self.samples, self.periods, self.sent = 0, 0, 0
+        self.samples, self.periods, self.sent, self.settled = 0, 0, 0, 0
         self.sum_least = self.sum_delay = 0.0
         self.proven = True  # False: its state fell for want of samples, not on delays
         self.rate = 0.0  # set-ups a second sent here of late
@@ -128,7 +128,10 @@
 
     def settle(self, now_us: int) -> None:
         """Close a period: the state moves by the mean delay against the thresholds, with hysteresis."""
-        self.rate += RATE_MEMORY * (self.sent * 1e6 / PERIOD_US - self.rate)
+        # At first the mean of all periods: from nothing, a young controller would learn its own rate for ten
+        # seconds, and meanwhile send next to nothing to a cold exchange.
+        self.settled += 1
+        self.rate += max(RATE_MEMORY, 1 / self.settled) * (self.sent * 1e6 / PERIOD_US - self.rate)
         self.sent = 0
         for call in self.out.values():
             if not self.lost(call):
--- a/tests/test_call_front.py
+++ b/tests/test_call_front.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import Any, cast
 
+import pytest
 from drivers import Abortable, Seconds
 from test_router import World
 from test_websocket_codec import SHAKE, frame
@@ -25,26 +26,63 @@
     return reactor, session, transport
 
 
+def pass_time(reactor: Clock, seconds: int) -> None:
+    """Let time pass, in steps as short as the front's own."""
+    for _ in range(seconds * 20):
+        reactor.advance(0.05)
+
+
 def test_a_silent_socket_is_pinged_and_one_without_a_sign_of_life_given_up() -> None:
     reactor, session, transport = connect()
-    for _ in range(5):
-        reactor.advance(5)
+    pass_time(reactor, 25)
     assert transport.value() == frame(0x89, b"", masked=False)
     session.dataReceived(frame(0x8A, b""))  # a pong: alive
-    for _ in range(12):
-        reactor.advance(5)
+    pass_time(reactor, 59)
     assert not transport.aborted
-    reactor.advance(5)
+    pass_time(reactor, 2)
+    assert transport.aborted
+
+
+@pytest.mark.parametrize("begun", [b"", SHAKE[:30], SHAKE + b"\x81", SHAKE + frame(0x01, b"{", masked=True)])
+def test_a_socket_that_stays_half_sent_is_closed_in_time(begun: bytes) -> None:
+    reactor, transport = Clock(), cast(Any, Abortable)()
+    front = CallFront(World().router, Seconds(reactor), {"ledger-read": 0}, Counter(), "/calls")
+    session = cast(Any, front.buildProtocol(None))
+    session.makeConnection(transport)
+    if begun:
+        session.dataReceived(begun)
+    pass_time(reactor, 2)
+    assert not transport.aborted
+    pass_time(reactor, 1)
     assert transport.aborted
 
 
+def test_the_id_of_an_open_call_with_other_fields_harms_neither_call_nor_client() -> None:
+    _, session, _ = connect()
+    front = session.front
+    now_ms = session.front.router.now_us() // 1000
+    asked = api.SetUp("1" * 16, "ledger-read", "5", 1, now_ms + 3000)
+    front.asked(session, asked)
+    with pytest.raises(api.BadMessage):
+        front.asked(session, api.SetUp("1" * 16, "ledger-read", "5", 1, now_ms + 3000, description="other"))
+    front.asked(session, api.SetUp("1" * 16, "ledger-read", "5", 1, now_ms + 3000))  # the same again
+    assert front.calls["1" * 16].asked is asked
+    assert front.counts["ws_set_ups"] == 1
+
+
 def test_a_client_that_does_not_read_is_not_read_from() -> None:
-    _, _, transport = connect()
+    reactor, session, transport = connect()
     producer = cast(Any, transport.producer)
     producer.pauseProducing()
     assert transport.producerState == "paused"
     producer.resumeProducing()
     assert transport.producerState == "producing"
+    producer.pauseProducing()
+    pass_time(reactor, 9)
+    session.dataReceived(frame(0x8A, b"", masked=True))
+    assert not transport.aborted
+    pass_time(reactor, 2)
+    assert transport.aborted
 
 
 def test_the_end_of_a_call_is_remembered_and_then_forgotten() -> None:
--- a/tests/test_grade.py
+++ b/tests/test_grade.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from ospreylug.logic import ALPHA, Grade, step, thresholds
+from ospreylug import interface as io
+from ospreylug.logic import ALPHA, Far, Grade, step, thresholds
 
 
 def test_thresholds_are_the_designs() -> None:
@@ -42,3 +43,13 @@
 def test_without_five_samples_a_state_may_fall_but_not_rise() -> None:
     assert step(Grade.LIGHT, 0.99, 20_000, False) is Grade.LIGHT
     assert step(Grade.HEAVY, 0.1, 20_000, False) is Grade.FAIR
+
+
+def test_the_rate_sent_to_an_exchange_is_known_after_the_first_period() -> None:
+    far = Far(io.Entry("x1", 1, 0))
+    rates = []
+    for sent in (10, 20, 15):
+        far.sent = sent
+        far.settle(0)
+        rates.append(far.rate)
+    assert rates == [10, 15, 15]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from astertrack.core import Request
-from astertrack.net.links import LOST_US, REDIAL_US, WATCH_US
+from astertrack.net.links import LOST_US, QUIET_US, REDIAL_US, SILENT_US, WATCH_US
 from astertrack.net.peers import PARTIAL_US, Endpoint, PeerLink, PeerTable
 from astertrack.wire import peer as wire
 from ospreylug import interface as io
@@ -207,19 +207,19 @@
 def test_a_silent_connection_is_tested_given_up_and_its_calls_released_in_time() -> None:
     peer = peer_up(ONE)
     peer.answers(ONE)
-    peer.pass_time(1_500_000)
+    peer.pass_time(QUIET_US + 2 * WATCH_US)
     tests = [c for kind, c in peer.heard() if kind == wire.Type.TEST]
     assert len(tests) == 1
     peer.says(wire.Type.TEST_RESULT, tests[0], {wire.Code.CAUSE: b"\1"})  # alive
-    peer.pass_time(2_000_000)
+    peer.pass_time(SILENT_US - 50_000)
     assert not peer.transports[0].aborted
-    peer.pass_time(1_000_000)
+    peer.pass_time(2 * WATCH_US)
     assert peer.transports[0].aborted
     peer.connect()  # another connection, which says nothing either
-    peer.pass_time(3_000_000)
+    peer.pass_time(SILENT_US + 2 * WATCH_US)
     assert peer.transports[1].aborted
     assert not peer.world.over  # it may still come back, and the call with it
-    peer.pass_time(LOST_US - 6_000_000 + 500_000)
+    peer.pass_time(LOST_US - 2 * SILENT_US)
     assert peer.world.over == {ONE: 1}
     assert LOST_US + 2 * WATCH_US < 8_000_000
     peer.connect()
