--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -247,6 +247,8 @@
         request = self._read(event, service) if service >= 0 else None
         if request is None:
             self.counts["sip_unplaceable"] += 1
+            log.warning("a call that cannot be placed", call=event.call, tier=event.tier[:40],
+                        wait_ms=event.wait_ms, figures=event.attrs[:80])
             self.failed(event.call)
         elif not self.router.offer(request, self):
             # The id of a call in hand, on another connection: that call and its caller are not to be harmed.
