Notice a silent peer connection after 0.65 s, but not in a late turn of our own

From reading: timers come before what waits to be read, so a pause of this process would have looked like the silence of every peer; a late look now waits.

--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -23,10 +23,10 @@
 REDIAL_US = 250_000  # between dials to a peer that does not answer
 YOUNG_US = 100_000  # a connection that ended so soon is not dialled again at once
 REFUSALS = 2  # dials refused in a row: one may be a mishap, as a reset may be; two are a process that is gone
-QUIET_US = 400_000  # a peer from which nothing came for so long is tested: usually it tells of its groups
-SILENT_US = 1_000_000  # and without a word to that its connection is given up: another may work
+QUIET_US = 250_000  # a peer from which nothing came for so long is tested: usually it tells of its groups
+SILENT_US = 650_000  # and without a word to that its connection is given up: another may work
 LOST_US = 6_750_000  # calls that stood there are released: they must be 8 s after their end, if unheard
-WATCH_US = 250_000  # how often it is looked
+WATCH_US = 100_000  # how often it is looked
 OWED_US = 250_000  # how long the end of a broken set-up is worth telling: it may be sent again after 300 ms
 
 
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -21,6 +21,7 @@
 
 log = structlog.get_logger()
 PARTIAL_US = 300_000  # a message of at most 16 KiB that is not whole by then will not be
+LATE_US = 100_000  # a look at the links that comes later than this waits for the next one
 PROBE_US = 250_000  # a probe unanswered for so long has failed
 OUTCOMES = {34: io.Outcome.TURNED_AWAY, 17: io.Outcome.NUMBER_FAULT, 47: io.Outcome.NUMBER_FAULT,
             102: io.Outcome.NOT_SENT, CUT: io.Outcome.CUT, NORMAL: io.Outcome.OK}
@@ -164,13 +165,21 @@
     def __init__(self, make: Callable[[Endpoint], Link], home: int, clock: Clock) -> None:
         self.make, self.home, self.clock = make, home, clock
         self.links: dict[str, Link] = {}
-        clock.at(clock.now_us() + WATCH_US, self._watch)
+        self._watch_us = clock.now_us() + WATCH_US
+        clock.at(self._watch_us, self._watch)
         self.addresses: dict[str, str] = {}
 
     def _watch(self) -> None:
-        for link in list(self.links.values()):
-            link.watch()
-        self.clock.at(self.clock.now_us() + WATCH_US, self._watch)
+        """Look after all links; not in a turn that comes late, for then the silence may be our own.
+
+        Guards every connection against a pause of this process: timers come before what waits to be read.
+        """
+        now = self.clock.now_us()
+        if now - self._watch_us < LATE_US:
+            for link in list(self.links.values()):
+                link.watch()
+        self._watch_us = now + WATCH_US
+        self.clock.at(self._watch_us, self._watch)
 
     def update(self, endpoints: list[Endpoint], complete: bool) -> None:
         """Follow the list. A peer at a new address is a new machine; one's name is kept on a restart."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -226,6 +226,16 @@
     assert (wire.Type.RELEASE, ONE) in peer.heard()  # cut off, not dead: its circuits are freed there
 
 
+def test_a_pause_of_the_program_itself_is_no_silence_of_its_peers() -> None:
+    peer = peer_up(ONE)
+    peer.answers(ONE)
+    peer.reactor.advance(5)
+    assert not peer.transports[0].aborted
+    peer.answers(ONE)  # it was there to be read
+    peer.pass_time(WATCH_US)
+    assert not peer.transports[0].aborted
+
+
 class LinkStates(RuleBasedStateMachine):
     """A link by a model: down, dialling, up; each set-up gets one outcome, whatever ends the connection."""
 
