Add versions of the plan: control wire, state machine, probation, store, stand-in service

Records and log lines carry the version. The stand-ins move into laboratory/, with a scripted control service beside them.

--- a/astertrack/__main__.py
+++ b/astertrack/__main__.py
@@ -26,9 +26,12 @@
         print(f"astertrack: {wrong}", file=sys.stderr)
         return 2
     reactor = cast(Any, default_reactor)
-    app = App(config, reactor)
     try:
+        app = App(config, reactor)
         app.start()
+    except ConfigError as wrong:
+        print(f"astertrack: {wrong}", file=sys.stderr)
+        return 2
     except OSError as wrong:
         print(f"astertrack: cannot listen: {wrong}", file=sys.stderr)
         return 2
--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -10,7 +10,7 @@
 import structlog
 
 from astertrack.config import Config, ConfigError, read_bulletin
-from astertrack.core import Router
+from astertrack.core import Gate, Router
 from astertrack.net.apilink import ApiLink
 from astertrack.net.bulletin import Bulletin, read_event
 from astertrack.net.callers import CallerFront
@@ -18,6 +18,8 @@
 from astertrack.net.links import Link
 from astertrack.net.peers import Endpoint, PeerLink, PeerTable
 from astertrack.net.websocket import CallFront
+from astertrack.parts import load_parts
+from astertrack.parts.model import Given
 from astertrack.store import make_store
 from astertrack.wire.common import Unreadable
 from ospreylug import interface as io
@@ -41,9 +43,10 @@
         self.clock = ReactorClock(reactor)
         self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
         self.peers = PeerTable(self._link, config.settings.home, self.clock)
-        self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info,
-                             self.store.record, self._orphaned)
-        self.router.counts = self.counts
+        self.parts = load_parts(Given(config, reactor, self.clock, self.counts, self.peers))
+        policies = [policy for part in self.parts for policy in part.policies()]
+        self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self.store.record,
+                             self._orphaned, Gate(policies, log.warning, self.counts, bool(policies)), self.counts)
         self.front = CallerFront(self.router, self.clock, config.classes, self.counts,
                                  max(8, int(config.sockets * CALLERS_SHARE)))
         self.paths = {d.name: d.path for d in config.gateway.destinations}
@@ -86,6 +89,8 @@
             endpoints.update({e.entry.exchange: e for e in changed})
         listed = [e for e in endpoints.values() if e.entry.readiness is not io.Readiness.GONE]
         self._roster(io.RosterKind.RESTORED, listed)
+        for part in self.parts:
+            part.start(self.router)
         self.ports.append(self.reactor.listenTCP(
             config.port, self.front, backlog=LISTEN_BACKLOG, interface=config.host))
         if config.gateway.front is not None:
@@ -110,6 +115,8 @@
 
     def reload(self) -> None:
         """Follow the bulletin that the configuration now names; a file that is no good changes nothing."""
+        for part in self.parts:
+            part.reload()
         try:
             address = read_bulletin()
         except ConfigError as wrong:
@@ -131,6 +138,8 @@
     def _close(self) -> None:
         for port in self.ports:
             port.stopListening()
+        for part in self.parts:
+            part.stop()
         self._finish()
 
     def _finish(self) -> None:
@@ -157,5 +166,7 @@
     def print_counts(self) -> None:
         """Print the counters, one line."""
         self.counts["store_waiting"] = self.store.waiting()
+        for part in self.parts:
+            part.count()
         figures = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         print(f"counters calls_in_hand={len(self.router.calls)} {figures}", file=sys.stderr, flush=True)
--- a/astertrack/core/gate.py
+++ b/astertrack/core/gate.py
@@ -65,6 +65,7 @@
 
     cause: str
     wait_us: int
+    label: str = ""  # as an Admission's
 
 
 class Policy(Protocol):
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -56,6 +56,7 @@
     taken_us: int
     answer_by_us: int
     ticket: Ticket | None = None  # what the gate made of it; None: not through the gate
+    label: str = ""  # what the gate wants said of it, such as the version of the plan that it follows
     guard: Timer | None = None  # refuses the call should nothing else have answered it
     attempt: Attempt | None = None
     attempts: int = 0
@@ -69,7 +70,7 @@
     def __init__(self, settings: io.Settings, seed: int, clock: Clock, peers: Peers, log: Log,
                  record: Callable[[Record], None],
                  orphaned: Callable[[str, int], None] = lambda call, cause: None,
-                 gate: Gate | None = None) -> None:
+                 gate: Gate | None = None, counts: Counter[str] | None = None) -> None:
         self.settings, self.clock, self.peers, self.log, self.record = settings, clock, peers, log, record
         self.orphaned = orphaned  # releases, towards its caller, a call of the process before this one
         self.controller = Controller(settings, seed)
@@ -78,7 +79,7 @@
         self.roster: dict[str, io.Entry] = {}
         self.free: dict[str, float] = {}  # circuits free in the group to a peer, as last told
         self.round_trip_us: dict[str, int] = {}  # shortest time in which a peer ended an attempt
-        self.counts: Counter[str] = Counter()
+        self.counts: Counter[str] = counts if counts is not None else Counter()
         self.gate = gate if gate is not None else Gate((), log, self.counts)
         self._seen: set[str] | None = set()  # calls of this process, while orphans may come
         clock.at(clock.now_us() + ORPHAN_US, self._no_more_orphans)
@@ -105,9 +106,10 @@
         passed = self.gate.admit(request, now)
         if isinstance(passed, Refusal):
             self.counts["refused_at_gate"] += 1
+            call.label = passed.label
             self._answer(call, Final.REFUSED, passed.wait_us)
             return True
-        call.ticket = passed
+        call.ticket, call.label = passed, passed.label
         call.guard = self.clock.at(call.answer_by_us, lambda: self._overdue(call))
         self._feed(io.CallOffered(
             request.call, request.service, request.dest, request.number, request.deadline_us, request.width,
@@ -420,9 +422,9 @@
         self.record(Record(request.call, self.now_us(), event, request.service_name, request.number,
                            request.dest, request.transit, call.attempts,
                            call.attempt.peer if call.attempt else "", call.taken_us,
-                           call.ticket.label if call.ticket is not None else ""))
+                           call.label))
 
     @staticmethod
     def _labels(call: Call) -> dict[str, str]:
         """What the gate wants said of a call in its log lines."""
-        return {"version": call.ticket.label} if call.ticket is not None and call.ticket.label else {}
+        return {"version": call.label} if call.label else {}
--- a/astertrack/plan/__init__.py
+++ b/astertrack/plan/__init__.py
@@ -12,7 +12,7 @@
 
 from astertrack.plan.compiled import Building, Plan, build
 from astertrack.plan.model import Drop, Finding, Line, Reason, Record, Refused, Turned, Way, read_line, write_line
-from astertrack.plan.policy import Asked, Desk, Passed
+from astertrack.plan.policy import Asked, Desk, Passed, route
 
 __all__ = ["Asked", "Building", "Desk", "Drop", "Finding", "Line", "Passed", "Plan", "Reason", "Record", "Refused",
-           "Turned", "Way", "build", "read_line", "write_line"]
+           "Turned", "Way", "build", "read_line", "route", "write_line"]
--- a/astertrack/plan/compiled.py
+++ b/astertrack/plan/compiled.py
@@ -47,7 +47,7 @@
 Value = int | Barred | Alias | Range
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, weakref_slot=True)
 class Plan:
     """One plan, ready to be asked. Shared by all calls that began while it was in force."""
 
--- a/astertrack/plan/model.py
+++ b/astertrack/plan/model.py
@@ -76,6 +76,10 @@
 class _Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", omit_defaults=True):
     """What all records share: unknown fields are errors, so that a slip of the pen is not passed over."""
 
+    def key(self) -> str:
+        """Return what no two records of this kind share."""
+        raise NotImplementedError
+
 
 class Exchange(_Record, frozen=True, tag="exchange"):
     """An exchange that others may name, and the zone it lies in."""
--- a/astertrack/plan/policy.py
+++ b/astertrack/plan/policy.py
@@ -39,6 +39,34 @@
     limits: tuple[str, ...] = ()
 
 
+Turning = tuple[str, str, int | None]  # cause, by what, and the wait in ms that the record itself names
+
+
+def resolve(plan: Plan, asked: Asked) -> int | Turning:
+    """Return the exchange that a call goes to, or why it is turned away."""
+    if asked.transit:
+        return asked.dest
+    target = plan.target(asked.number)
+    if isinstance(target, Barred):
+        return "barred", target.digits, target.wait_ms
+    if isinstance(target, Range):
+        return target.exchange
+    if isinstance(target, int):
+        return target
+    if asked.dest < 0 or any(record.refuse for record in plan.of("unmatched").values()):
+        return "unmatched", "", None
+    return asked.dest
+
+
+def route(plan: Plan, asked: Asked, zone: str) -> Way | str:
+    """Return all that a plan says of a call's way, limits apart; the cause, if it is turned away.
+
+    Two plans for which this is equal treat the call alike: the judgement of a version rests on that.
+    """
+    dest = resolve(plan, asked)
+    return plan.way(dest, asked.service, zone) if isinstance(dest, int) else dest[0]
+
+
 class _Bucket:
     """A token bucket (RFC 2697's idea, with one rate): what is left, and when it was so."""
 
@@ -64,17 +92,9 @@
     def admit(self, plan: Plan, asked: Asked, now_us: int) -> Passed | Turned:
         """Say what becomes of a call. A call in transit keeps its destination, and no prefix is applied to it:
         the router before has applied its own, and a second opinion could send it round in circles."""
-        dest = asked.dest
-        if not asked.transit:
-            target = plan.target(asked.number)
-            if isinstance(target, Barred):
-                return self._turned(plan, "barred", target.digits, target.wait_ms)
-            if isinstance(target, Range):
-                dest = target.exchange
-            elif isinstance(target, int):
-                dest = target
-            elif dest < 0 or self._refuses_unmatched(plan):
-                return self._turned(plan, "unmatched", "", None)
+        dest = resolve(plan, asked)
+        if not isinstance(dest, int):
+            return self._turned(plan, *dest)
         limits = plan.of("limit")
         counted: tuple[str, ...] = ()
         if limits:
@@ -87,11 +107,6 @@
             self.in_hand[name] += 1
         return Passed(way, counted)
 
-    @staticmethod
-    def _refuses_unmatched(plan: Plan) -> bool:
-        unmatched = plan.of("unmatched")
-        return any(record.refuse for record in unmatched.values())
-
     def _limited(self, limits: dict[str, Limit], asked: Asked, dest: int,
                  now_us: int) -> tuple[Limit | None, list[Limit]]:
         """Return the first limit that is reached, and all that fit; takes of their rates only if none is."""
--- a/astertrack/store/records.py
+++ b/astertrack/store/records.py
@@ -21,8 +21,13 @@
 TABLE = """CREATE TABLE IF NOT EXISTS call_records (
     call TEXT NOT NULL, at_us BIGINT NOT NULL, event TEXT NOT NULL, service TEXT NOT NULL,
     number TEXT NOT NULL, dest INTEGER NOT NULL, transit INTEGER NOT NULL, attempts INTEGER NOT NULL,
-    peer TEXT NOT NULL, PRIMARY KEY (call, at_us, event))"""
-INSERT = "INSERT INTO call_records VALUES ({}) ON CONFLICT DO NOTHING"
+    peer TEXT NOT NULL, taken_us BIGINT NOT NULL DEFAULT 0, version TEXT NOT NULL DEFAULT '',
+    PRIMARY KEY (call, at_us, event))"""
+# For tables that were made before these columns were.
+LATER_COLUMNS = ("taken_us BIGINT NOT NULL DEFAULT 0", "version TEXT NOT NULL DEFAULT ''")
+INSERT = ("INSERT INTO call_records (call, at_us, event, service, number, dest, transit, attempts, peer, taken_us, "
+          "version) VALUES ({}) ON CONFLICT DO NOTHING")
+
 
 
 class Store(Protocol):
@@ -58,7 +63,8 @@
 
     def __init__(self, reactor: Any, pool: Any, mark: str, counts: Counter[str]) -> None:
         self.reactor, self.pool, self.counts = reactor, pool, counts
-        self.insert = INSERT.format(", ".join([mark] * 9))
+        self.mark = mark
+        self.insert = INSERT.format(", ".join([mark] * 11))
         self.queue: deque[Record] = deque()
         self.made = self.busy = self.closing = False
         self.tries = 0
@@ -86,9 +92,22 @@
         """Runs in the pool's thread, in one transaction: a batch is written whole or not at all."""
         if not self.made:
             transaction.execute(TABLE)
+            self._add_columns(transaction)
         transaction.executemany(self.insert, [
-            (r.call, r.at_us, r.event, r.service, r.number, r.dest, int(r.transit), r.attempts, r.peer)
-            for r in batch])
+            (r.call, r.at_us, r.event, r.service, r.number, r.dest, int(r.transit), r.attempts, r.peer,
+             r.taken_us, r.version) for r in batch])
+
+    def _add_columns(self, transaction: Any) -> None:
+        """Bring a table of an earlier release up to date."""
+        if self.mark == "?":
+            transaction.execute("PRAGMA table_info(call_records)")
+            there = {row[1] for row in transaction.fetchall()}
+            for column in LATER_COLUMNS:
+                if column.split()[0] not in there:
+                    transaction.execute(f"ALTER TABLE call_records ADD COLUMN {column}")
+        else:
+            for column in LATER_COLUMNS:
+                transaction.execute(f"ALTER TABLE call_records ADD COLUMN IF NOT EXISTS {column}")
 
     def _written(self, _: object, count: int) -> None:
         self.made, self.tries = True, 0
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -30,8 +30,8 @@
     id: str
     service: str
     number: str
-    dest: int
-    deadline: int
+    dest: int = -1  # -1: by the routing plan, where there is one
+    deadline: int = 0
     description: str = ""
     width: float = 1.0
     transit: bool = False
@@ -137,12 +137,12 @@
 RENAMED = {"class": "service"}  # the API's word is Python's
 TOLD = {"service": "class"}
 TEXT_MOST = {"number": 128, "service": 64, "code": 64, "reason": 512, "description": LIMIT}
-WHOLE = {"dest": (0, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
+WHOLE = {"dest": (-1, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
          "cause": (1, 127)}
 NUMBERS = {"width": (1e-6, 64.0), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
 FLAGS = ("transit", "again")
 NEEDED: dict[type[Any], tuple[str, ...]] = {
-    SetUp: ("id", "service", "number", "dest", "deadline"), Error: ("code", "reason"), State: ()}
+    SetUp: ("id", "service", "number", "deadline"), Error: ("code", "reason"), State: ()}
 
 
 def _value(name: str, value: object, call: str | None) -> object:
--- /dev/null
+++ b/astertrack/wire/http.py
@@ -0,0 +1,107 @@
+"""As much of HTTP/1.1 (RFC 9112) as the control wire needs: one request or response a connection, with a length.
+
+Reader takes either end's message; whoever speaks to a browser or a proxy wants a library instead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+
+BODY_MOST = 512 * 1024  # octets of a body: a batch of reports has under 128 KiB
+
+
+class Kind(Enum):
+    """What a reader waits for."""
+
+    REQUEST = "request"
+    RESPONSE = "response"
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A request (method and target) or a response (status); header names are lower-case."""
+
+    method: str
+    target: str
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+class Reader:
+    """Cuts one message off what comes on a connection, at any split of the bytes."""
+
+    def __init__(self, kind: Kind, body_most: int = BODY_MOST) -> None:
+        self.kind, self.body_most, self.done = kind, body_most, False
+        self._buffer = bytearray()
+        self._head: Message | None = None
+        self._length = 0
+
+    def receive(self, data: bytes) -> Message | Malformed | None:
+        """Take bytes; return the message once it is whole. What comes after it means nothing."""
+        if self.done:
+            return None
+        self._buffer += data
+        try:
+            if self._head is None and not self._read_head():
+                return None
+        except Unreadable as wrong:
+            return self._end(Malformed(str(wrong)))
+        if len(self._buffer) < self._length or self._head is None:
+            return None
+        return self._end(replace(self._head, body=bytes(self._buffer[:self._length])))
+
+    def _end(self, result: Message | Malformed) -> Message | Malformed:
+        self.done = True
+        self._buffer.clear()
+        return result
+
+    def _read_head(self) -> bool:
+        end = self._buffer.find(b"\r\n\r\n")
+        if end > LIMIT or (end < 0 and len(self._buffer) > LIMIT):
+            raise Unreadable("head too long")
+        if end < 0:
+            return False
+        first, *lines = text(bytes(self._buffer[:end])).split("\r\n")
+        headers: dict[str, str] = {}
+        for line in lines:
+            name, colon, value = line.partition(":")
+            if not colon or not name or name != name.strip():
+                raise Unreadable("a header without a name")
+            if headers.setdefault(name.lower(), value.strip()) != value.strip() and name.lower() == "content-length":
+                raise Unreadable("two Content-Lengths that differ")
+        if "transfer-encoding" in headers:
+            raise Unreadable("a body without a length")
+        self._length = whole(headers.get("content-length", "0"), "Content-Length", 0, self.body_most)
+        words = first.split(" ", 2)
+        if self.kind is Kind.REQUEST:
+            if len(words) != 3 or not words[0].isalpha() or not words[1].startswith("/") or words[2] != "HTTP/1.1":
+                raise Unreadable("not a request")
+            self._head = Message(words[0], words[1], 0, headers)
+        else:
+            if len(words) < 2 or not words[0].startswith("HTTP/1."):
+                raise Unreadable("not a status line")
+            self._head = Message("", "", whole(words[1], "status", 100, 599), headers)
+        del self._buffer[:end + 4]
+        return True
+
+
+def request(method: str, target: str, host: str, body: bytes = b"", kind: str = "application/json") -> bytes:
+    """Put a request together, after which the connection closes."""
+    return (f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nContent-Type: {kind}\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def response(status: int, phrase: str, body: bytes = b"", kind: str = "application/json") -> bytes:
+    """Put a response together, after which the connection closes."""
+    return (f"HTTP/1.1 {status} {phrase}\r\nContent-Type: {kind}\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def stream() -> bytes:
+    """Put the head of a stream of server-sent events together, which lasts until the connection ends."""
+    return (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n"
+            b"Connection: close\r\n\r\n")
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -1,7 +1,8 @@
-"""The bulletin's wire: an HTTP/1.1 response that holds server-sent events."""
+"""The wire of the bulletin and of the control service: an HTTP/1.1 response that holds server-sent events."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
@@ -15,6 +16,13 @@
 
     id: str
     data: str
+    name: str = "message"
+
+
+def encode(name: str, lines: Iterable[bytes], id: str = "") -> bytes:
+    """Put one event together, whose data has these lines."""
+    head = f"event: {name}\n".encode() + (f"id: {id}\n".encode() if id else b"")
+    return head + b"".join(b"data: " + line + b"\n" for line in lines) + b"\n"
 
 
 def get(path: str, host: str, last_id: str) -> bytes:
@@ -26,7 +34,10 @@
 class Client:
     """The events of one response, whether it is sent in chunks or until the connection ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int = LIST_LIMIT, any_id: bool = False) -> None:
+        self._any_id = any_id  # whether an id may be something else than a whole number
+        self._limit = limit  # octets of one event
+        self._name = "message"
         self._buffer = bytearray()
         self._body = bytearray()
         self._lines = bytearray()
@@ -65,7 +76,7 @@
         first, *lines = text(bytes(self._buffer[:end])).split("\r\n")
         words = first.split(" ")
         if not words[0].startswith("HTTP/1.") or words[1:2] != ["200"]:
-            raise Unreadable("no 200 from the bulletin")
+            raise Unreadable("no 200 in answer")
         for line in lines:
             name, _, value = line.partition(":")
             if name.strip().lower() == "transfer-encoding":
@@ -100,22 +111,25 @@
     def _read(self, events: list[ServerSentEvent | Malformed]) -> None:
         *lines, rest = bytes(self._body).replace(b"\r\n", b"\n").split(b"\n")
         self._body = bytearray(rest)
-        if len(rest) > LIST_LIMIT:
+        if len(rest) > self._limit:
             raise Unreadable("event too long")
         for raw in lines:
             line = text(raw)
             if not line:
                 if self._data:
-                    events.append(ServerSentEvent(self._id, "\n".join(self._data)))
-                self._data, self._size = [], 0
+                    events.append(ServerSentEvent(self._id, "\n".join(self._data), self._name))
+                self._data, self._size, self._name = [], 0, "message"
                 continue
             name, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if name == "id":
-                whole(value, "id")
+                if not self._any_id:
+                    whole(value, "id")
                 self._id = value
+            elif name == "event":
+                self._name = value
             elif name == "data":
                 self._data.append(value)
                 self._size += len(value)
-                if self._size > LIST_LIMIT:
+                if self._size > self._limit:
                     raise Unreadable("event too long")
--- /dev/null
+++ b/laboratory/control_service.py
@@ -0,0 +1,193 @@
+"""A stand-in control service: sends versions as a script says, good, broken, cut, reordered, in floods or not at all.
+
+It speaks the control wire with the program's own encoders where a version is to be sound, and with bytes of the
+script's own where it is not. It keeps every report with the instant at which it was heard, as the service's log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Self
+
+from astertrack.plan import Plan
+from astertrack.versions import Document, Header, Report, VersionId, make_document, write_header
+from astertrack.versions.offering import Catalogue, Ledger, read_reports
+from astertrack.wire import control, http, sse
+
+
+def events(document: Document, records: int | None = None, end: bool = True) -> bytes:
+    """The bytes of a version: all of them, or those of its first records, or all but its end."""
+    lines = document.lines if records is None else document.lines[:records]
+    parts = list(control.version(write_header(document.header), lines, str(document.header.id)))
+    return b"".join(parts if end and records is None else parts[:-1])
+
+
+def wrong(number: int, lines: Iterable[bytes], epoch: int = 1, state: int = 0) -> Document:
+    """A document whose lines need not be sound, under a head that fits them."""
+    sound = make_document(VersionId(epoch, number), (), state)
+    given = tuple(lines)
+    text = b"".join(line + b"\n" for line in given)
+    header = Header(epoch, number, len(given), len(text), hashlib.sha256(text).hexdigest(), sound.header.state)
+    return Document(header, given)
+
+
+@dataclass(eq=False)
+class Stream:
+    """One router that listens."""
+
+    asked: control.Asked
+    writer: asyncio.StreamWriter
+    at_us: int
+    closed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A report, and when it was heard here."""
+
+    at_us: int
+    report: Report
+
+
+@dataclass
+class ControlService:
+    """The service. `catalogue` answers who connects, as a sound service does; the rest is up to the script."""
+
+    catalogue: Catalogue = field(default_factory=Catalogue)
+    ledger: Ledger = field(default_factory=Ledger)
+    heard: list[Heard] = field(default_factory=list)  # each report once, in the order heard
+    streams: list[Stream] = field(default_factory=list)  # all there have been
+    answers: str = "hear"  # to status: "hear", "deaf" (503), "mute" (heard, and the connection dies), "hang"
+    offers: bool = True  # whether who connects is sent the latest version
+    comments: bool = True
+    messages: int = 0
+    deltas: bool = True  # whether what is published goes out as a delta where it can
+
+    def __post_init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._task: asyncio.Task[None] | None = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> Self:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=1 << 22)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self._task = asyncio.get_running_loop().create_task(self._comment())
+        return self
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def open(self) -> list[Stream]:
+        """The routers that listen now."""
+        return [stream for stream in self.streams if not stream.closed]
+
+    async def stop(self) -> None:
+        """Refuse new connections and close the open ones."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _comment(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            if self.comments:
+                self.send_raw(control.comment())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        machine = http.Reader(http.Kind.REQUEST)
+        stream = None
+        try:
+            while data := await reader.read(65536):
+                message = machine.receive(data)
+                if not isinstance(message, http.Message):
+                    continue
+                asked = control.read_ask(message)
+                if asked is not None:
+                    stream = Stream(asked, writer, time.time_ns() // 1000)
+                    self.streams.append(stream)
+                    writer.write(http.stream())
+                    offered = self.catalogue.next_for(asked.after, asked.full) if self.offers else None
+                    if offered is not None:
+                        writer.write(events(offered))
+                else:
+                    await self._status(message, writer)
+                    if self.answers != "hang":
+                        break
+        except ConnectionError:
+            pass
+        finally:
+            if stream is not None:
+                stream.closed = True
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _status(self, message: http.Message, writer: asyncio.StreamWriter) -> None:
+        self.messages += 1
+        if self.answers == "deaf":
+            writer.write(http.response(503, "Service Unavailable"))
+        else:
+            now = time.time_ns() // 1000
+            self.heard += [Heard(now, report) for report in self.ledger.hear(read_reports(message.body))]
+            if self.answers == "hear":
+                writer.write(http.response(204, "No Content"))
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+
+    # ---- what a script does
+
+    def send_raw(self, data: bytes) -> None:
+        """Send bytes to every router that listens."""
+        for stream in self.open:
+            stream.writer.write(data)
+
+    def send(self, document: Document) -> None:
+        """Send a version whole."""
+        self.send_raw(events(document))
+
+    def publish(self, id: VersionId, plan: Plan, in_force_ms: int = 0) -> Document:
+        """Publish a version as a sound service does; returns what those who have the one before were sent."""
+        before = self.catalogue.latest
+        self.catalogue.publish(id, plan, in_force_ms)
+        document = self.catalogue.next_for(str(before.id) if before is not None and self.deltas else "", False)
+        assert document is not None
+        self.send(document)
+        return document
+
+    def cut(self) -> None:
+        """Close every stream."""
+        for stream in self.open:
+            stream.closed = True
+            stream.writer.close()
+
+    def stands(self, id: VersionId) -> list[str]:
+        """What was reported of a version, in the order of its reports."""
+        told = [h.report for h in self.heard if (h.report.epoch, h.report.number) == (id.epoch, id.number)]
+        return [report.stand for report in sorted(told, key=lambda r: (r.boot, r.seq))]
+
+    def reasons(self, id: VersionId) -> list[str]:
+        """Why a version was refused or taken back."""
+        return [h.report.reason for h in self.heard
+                if (h.report.epoch, h.report.number) == (id.epoch, id.number) and h.report.reason]
+
+
+def endless(octets: int) -> Iterable[bytes]:
+    """A version that claims to be small and does not end: so many octets of records."""
+    sound = wrong(1, [b'{"kind":"exchange","number":1}'])
+    yield sse.encode("version", (write_header(sound.header),))
+    record = sse.encode("records", [b'{"kind":"exchange","number":1}'] * 500)
+    for _ in range(octets // len(record) + 1):
+        yield record
--- a/tests/stand_ins.py
+++ b/laboratory/stand_ins.py
@@ -359,8 +359,8 @@
 
 @contextlib.asynccontextmanager
 async def program(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
-                  gateway: str = "", bulletin: str = "") -> AsyncIterator[Program]:
-    """Start the program between these stand-in exchanges, by number."""
+                  gateway: str = "", bulletin: str = "", versions: str = "") -> AsyncIterator[Program]:
+    """Start the program between these stand-in exchanges, by number; versions: the text of its versions.toml."""
     port, api_port = free_port(), free_port()
     with tempfile.TemporaryDirectory() as folder:
         endpoints = [{"name": f"s-{n}", "address": node.address, "zone": "fes", "type": "small-node",
@@ -375,13 +375,15 @@
         for n, node in (api_nodes or {}).items():
             lines += ["[[destination]]", f'name = "w-{n}"', f'address = "{node.address}"', f"number = {n}"]
         (here / "gateway.toml").write_text("\n".join(lines))
+        (here / "versions.toml").write_text(versions)
         log = here / "log"
         with log.open("w") as sink:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "astertrack", cwd=ROOT, stderr=sink,
                 env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{port}",
                      "RELAY_CONFIG": str(here / "config.json"),
-                     "ASTERTRACK_GATEWAY": str(here / "gateway.toml")})
+                     "ASTERTRACK_GATEWAY": str(here / "gateway.toml"),
+                     "ASTERTRACK_VERSIONS": str(here / "versions.toml")})
         try:
             await until(lambda: process.returncode is not None or "event=serving" in log.read_text())
             assert process.returncode is None, log.read_text()
--- a/tests/test_bulletin.py
+++ b/tests/test_bulletin.py
@@ -6,9 +6,8 @@
 import json
 from typing import Any
 
-from stand_ins import BinaryNode, Node, SipCaller, program, until
-
 from astertrack.net.bulletin import REDIAL_US, SILENT_US, read_event
+from laboratory.stand_ins import BinaryNode, Node, SipCaller, program, until
 
 
 class Board:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 import pytest
-from stand_ins import ROOT, SETTINGS
 
 from astertrack.config import ConfigError, read_config, read_gateway
+from laboratory.stand_ins import ROOT, SETTINGS
 
 GOOD = {"listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964", "settings": SETTINGS,
         "known": {"no": 3, "items": []}}
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,372 @@
+"""Configuration in versions, through the started program: a stand-in control service, nodes and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import sqlite3
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from astertrack.plan import Plan, build
+from astertrack.plan.model import Barred, Choice, Exchange, Limit, Prefix, Told, Unmatched
+from astertrack.versions import VersionId, make_document
+from astertrack.wire import sse
+from laboratory.control_service import ControlService, endless, events, wrong
+from laboratory.stand_ins import ApiCaller, BinaryNode, SipCaller, free_port, program, until
+
+IDS = itertools.count(0xC000)
+EXCHANGES = [Exchange(n, "fes") for n in (1, 2, 3)]
+
+
+def fresh() -> str:
+    """An id that no call has had."""
+    return f"{next(IDS):016x}"
+
+
+def run(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a test's body."""
+    asyncio.run(work())
+
+
+def plan(*records: Any) -> Plan:
+    """A plan of these and the exchanges."""
+    return build(iter([*EXCHANGES, *records]))
+
+
+def settings(service: ControlService | None = None, store: str = "", seconds: float = 0, file: str = "",
+             address: str = "") -> str:
+    """The text of versions.toml."""
+    where = service.address if service is not None else address
+    return (f'[service]\naddress = "{where}"\n[store]\nfolder = "{store}"\n[plan]\nfile = "{file}"\n'
+            f"[probation]\nseconds = {seconds}\n")
+
+
+async def placed(caller: SipCaller, number: str, dest: int = -1, wait_ms: int = 2000,
+                 tier: str = "ledger-read") -> tuple[str, Any]:
+    """Place a call by SIP and wait for its final answer."""
+    call = fresh()
+    caller.invite(call, number, dest, wait_ms, tier)
+    await until(lambda: call in caller.finals)
+    return call, caller.finals[call][0]
+
+
+def test_numbers_are_routed_by_the_version_in_force_through_both_fronts() -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2, 3)}
+        service.publish(VersionId(1, 1), plan(Prefix("5", 1), Prefix("55", 2), Barred("9", 700),
+                                              Choice(3, direct=False, over=[[2]], any_tandem=False),
+                                              Prefix("7", 3), Told("unmatched", 300)))
+        async with program(nodes, versions=settings(service)) as router:  # type: ignore[arg-type]
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            sip, api = await SipCaller.connect(router.port), await ApiCaller.connect(router.api_port)
+            for number, node in (("51", 1), ("551", 2), ("71", 2)):
+                call, answer = await placed(sip, number, dest=3)
+                assert answer.status == 200
+                assert [n for n, at in nodes.items() if at.seen[call]] == [node]
+                other = fresh()
+                api.send(type="setup", id=other, number=number, deadline=2**50, **{"class": "ledger-read"})
+                await until(lambda other=other: api.finals(other))
+                assert api.finals(other)[0]["type"] == "answer"
+                assert [n for n, at in nodes.items() if at.seen[other]] == [node]
+            _, refused = await placed(sip, "91")
+            assert refused.status == 503
+            assert 700 <= int(refused.headers["x-cooldown"]) <= 900
+            _, unmatched = await placed(sip, "11")
+            assert unmatched.status == 503
+            assert 300 <= int(unmatched.headers["x-cooldown"]) <= 400
+            assert (await placed(sip, "11", dest=1))[1].status == 200
+            counts = await router.counts()
+            assert counts["refused_at_gate"] == 2
+            assert counts["gate_refused_plan_barred"] == 1
+        await service.stop()
+    run(work)
+
+
+def test_broken_and_reordered_versions_are_refused_and_the_last_good_one_serves() -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        service.publish(VersionId(1, 1), plan(Prefix("5", 1)))
+        async with program(nodes, versions=settings(service)) as router:  # type: ignore[arg-type]
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            sip = await SipCaller.connect(router.port)
+            for number, lines in ((2, [b"{"]), (3, [b'{"kind":"prefix","digits":"5","exchange":9}']),
+                                  (4, [b'{"kind":"exchange","number":1}',
+                                       b'{"kind":"choice","exchange":1,"over":[[1]]}']),
+                                  (5, [b'{"kind":"alias","digits":"12","to":"13"}',
+                                       b'{"kind":"alias","digits":"13","to":"12"}'])):
+                service.send(wrong(number, lines))
+                await until(lambda number=number: service.stands(VersionId(1, number)) == ["refused"])
+            assert [service.reasons(VersionId(1, n)) for n in (2, 3, 4, 5)] == [
+                ["schema"], ["unknown-exchange"], ["route-through-itself"], ["alias-loop"]]
+            later, sooner = plan(Prefix("5", 2)), plan(Prefix("5", 1))
+            service.send(make_document(VersionId(1, 7), later.records(), later.state))
+            service.send(make_document(VersionId(1, 6), sooner.records(), sooner.state))
+            await until(lambda: service.stands(VersionId(1, 6)) == ["refused"])
+            assert service.reasons(VersionId(1, 6)) == ["stale"]
+            service.send(make_document(VersionId(1, 7), sooner.records(), sooner.state))
+            await until(lambda: "two-contents" in service.reasons(VersionId(1, 7)))
+            call, answer = await placed(sip, "51")
+            assert answer.status == 200
+            assert nodes[2].seen[call]
+            service.send(make_document(VersionId(2, 1), sooner.records(), sooner.state))
+            await until(lambda: "in-force" in service.stands(VersionId(2, 1)))
+            call, _ = await placed(sip, "51")
+            assert nodes[1].seen[call]
+            assert router.process.returncode is None
+        await service.stop()
+    run(work)
+
+
+def test_a_version_cut_in_a_multi_byte_character_or_anywhere_else_is_dropped_and_asked_for_again() -> None:
+    async def work() -> None:
+        service = await ControlService(offers=False).start()
+        node = await BinaryNode().start()
+        made = build(iter([Exchange(1, "fès-médina"), Prefix("5", 1)]))
+        sent = make_document(VersionId(1, 1), made.records(), made.state)
+        whole = events(sent)
+        middle = whole.index("è".encode()) + 1
+        async with program({1: node}, versions=settings(service)) as router:
+            for at, cut in enumerate((middle, len(whole) // 3, len(whole) - 3)):
+                await until(lambda at=at: len(service.streams) == at + 1 and not service.streams[-1].closed)
+                service.send_raw(whole[:cut])
+                await asyncio.sleep(0.05)
+                service.cut()
+            await until(lambda: len(service.streams) == 4)
+            assert not service.stands(VersionId(1, 1))
+            service.send(sent)
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            counts = await router.counts()
+            assert counts["versions_half_received"] == 2  # the other one was cut in its head
+        await service.stop()
+    run(work)
+
+
+def test_a_silent_stream_is_given_up_and_an_endless_or_unreadable_one_ends_nothing_else() -> None:
+    async def work() -> None:
+        service = await ControlService(offers=False).start()
+        node = await BinaryNode().start()
+        async with program({1: node}, versions=settings(service)) as router:
+            sip = await SipCaller.connect(router.port)
+            await until(lambda: len(service.open) == 1)
+            service.send_raw(b"data: \xff\n\n")
+            await until(lambda: len(service.streams) == 2 and len(service.open) == 1)
+            for data in endless(3_000_000):
+                service.send_raw(data)
+            service.send_raw(sse.encode("end", (b"{}",)))
+            await until(lambda: service.reasons(VersionId(1, 1)) == ["length"])
+            assert (await placed(sip, "good-1", dest=1))[1].status == 200
+            await until(lambda: len(service.open) == 1)  # it dialled again, and asked for a whole one
+            assert service.streams[-1].asked.full
+            service.comments = False
+            before = len(service.streams)
+            await until(lambda: len(service.streams) > before)
+            counts = await router.counts()
+            assert counts["control_silent"] >= 1
+            assert counts["control_malformed"] >= 1
+        await service.stop()
+    run(work)
+
+
+def test_reports_are_repeated_until_heard_and_harmless_when_heard_twice() -> None:
+    async def work() -> None:
+        service = await ControlService(answers="mute").start()
+        node = await BinaryNode().start()
+        service.publish(VersionId(1, 1), plan(Prefix("5", 1)))
+        async with program({1: node}, versions=settings(service)):
+            await until(lambda: service.ledger.repeated >= 3)  # heard, but the router was not told so
+            service.answers = "deaf"
+            messages = service.messages
+            await until(lambda: service.messages > messages)
+            service.answers = "hear"
+            await until(lambda: service.messages > messages + 1)
+            assert service.stands(VersionId(1, 1)) == ["accepted", "in-force", "settled"]
+            await asyncio.sleep(0.5)
+            assert len(service.heard) == 3
+        await service.stop()
+    run(work)
+
+
+def test_a_call_keeps_the_version_of_its_first_moment_for_its_record_and_all_its_attempts(tmp_path: Path) -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        database = tmp_path / "calls.db"
+        service.publish(VersionId(1, 1), plan(Prefix("5", 1)))
+        store = f'[store]\nkind = "sqlite"\ndatabase = "{database}"'
+        async with program(nodes, gateway=store, versions=settings(service)) as router:  # type: ignore[arg-type]
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            api = await ApiCaller.connect(router.api_port)
+            for word in ("silent", "long"):  # the nodes read the number; the plan leaves it to the caller's dest
+                api.set_up(fresh(), f"{word}-1", 1, 2500)
+            calls = list(itertools.islice((f"{n:016x}" for n in itertools.count(next(IDS) - 2)), 2))
+            await until(lambda: nodes[1].seen[calls[0]] and api.finals(calls[1]))
+            # Version 2 takes out exchange 1, at which one call stands and one waits for its answer.
+            gone = build(iter([Exchange(2), Prefix("5", 2), Unmatched(True)]))
+            service.publish(VersionId(1, 2), gone)
+            await until(lambda: "in-force" in service.stands(VersionId(1, 2)))
+            api.set_up(third := fresh(), "good-1", 1, 2500)
+            await until(lambda: api.finals(third))
+            assert api.finals(third)[0]["type"] == "refused"
+            await until(lambda: api.finals(calls[0]))
+            assert len(api.finals(calls[0])) == 1
+            assert not api.told(calls[1], "released")
+            api.send(type="release", id=calls[1])
+            await until(lambda: api.told(calls[1], "released"))
+            await router.counts()
+        rows = sqlite3.connect(database).execute("SELECT call, version FROM call_records").fetchall()
+        versions = {call: {v for c, v in rows if c == call} for call in (*calls, third)}
+        assert versions == {calls[0]: {"1.1"}, calls[1]: {"1.1"}, third: {"1.2"}}
+        await service.stop()
+    run(work)
+
+
+def test_the_last_good_version_serves_at_a_start_while_the_service_is_away(tmp_path: Path) -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        service.publish(VersionId(1, 1), plan(Prefix("5", 1)))
+        async with program(nodes, versions=settings(service, str(tmp_path))) as router:  # type: ignore[arg-type]
+            await until(lambda: "settled" in service.stands(VersionId(1, 1)))
+            service.publish(VersionId(1, 2), plan(Prefix("5", 2)))
+            await until(lambda: "settled" in service.stands(VersionId(1, 2)))
+            await until(lambda: b'"number":2' in (tmp_path / "current").read_bytes())
+            router.process.kill()  # no word of farewell
+            await router.process.wait()
+        address = service.address
+        await service.stop()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        text = settings(store=str(tmp_path), address=address)
+        async with program(nodes, versions=text) as router:  # type: ignore[arg-type]
+            sip = await SipCaller.connect(router.port)
+            call, answer = await placed(sip, "51")
+            assert answer.status == 200
+            assert nodes[2].seen[call]
+            counts = await router.counts()
+            assert counts["control_dials"] >= 1
+            assert counts["control_reports_waiting"] >= 1
+    run(work)
+
+
+def test_a_service_that_never_answers_and_no_store_leave_calls_as_they_are_without_a_plan() -> None:
+    async def work() -> None:
+        node = await BinaryNode().start()
+        async with program({1: node}, versions=settings(address=f"127.0.0.1:{free_port()}")) as router:
+            sip = await SipCaller.connect(router.port)
+            assert (await placed(sip, "good-1", dest=1))[1].status == 200
+            _, answer = await placed(sip, "good-1")  # nobody says where it should go
+            assert answer.status == 503
+            assert int(answer.headers["x-cooldown"]) == 2000
+            await router.counts()
+    run(work)
+
+
+def test_a_version_that_misroutes_is_rolled_back_under_calls() -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        service.publish(VersionId(1, 1), plan())
+        async with program(nodes, versions=settings(service, seconds=2.0)) as router:  # type: ignore[arg-type]
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            sip = await SipCaller.connect(router.port)
+            stop = False
+
+            async def offer() -> None:
+                for at in itertools.count():  # each to a number of its own: further calls to one count as redials
+                    if stop:
+                        return
+                    sip.invite(fresh(), f"good-{at}", 1)
+                    sip.invite(fresh(), f"fine-{at}", 2)
+                    await asyncio.sleep(0.02)
+            task = asyncio.get_running_loop().create_task(offer())
+            await asyncio.sleep(1.5)
+            # Calls to exchange 1 may not go direct, and there is no tandem left: they are refused.
+            service.publish(VersionId(1, 2), plan(Choice(1, direct=False, over=[[3]], any_tandem=False)))
+            await until(lambda: "rolled-back" in service.stands(VersionId(1, 2)))
+            assert service.reasons(VersionId(1, 2)) == ["probation"]
+            call, answer = await placed(sip, "good-last", dest=1)
+            assert answer.status == 200
+            assert nodes[1].seen[call]
+            stop = True
+            await task
+        await service.stop()
+    run(work)
+
+
+def test_a_limit_holds_and_frees_when_calls_end() -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        node = await BinaryNode().start()
+        service.publish(VersionId(1, 1), plan(Limit("two", 1, in_hand=2, wait_ms=150)))
+        async with program({1: node}, versions=settings(service)) as router:
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            api = await ApiCaller.connect(router.api_port)
+            calls = [fresh() for _ in range(3)]
+            for call in calls:
+                api.set_up(call, "long-1", 1)
+            await until(lambda: all(api.finals(c) for c in calls))
+            kinds = [api.finals(c)[0]["type"] for c in calls]
+            assert kinds == ["answer", "answer", "refused"]
+            assert 150 <= api.finals(calls[2])[0]["cooldown"] <= 190
+            api.send(type="release", id=calls[0])
+            await until(lambda: api.told(calls[0], "released"))
+            api.set_up(again := fresh(), "long-1", 1)
+            await until(lambda: api.finals(again))
+            assert api.finals(again)[0]["type"] == "answer"
+            assert node.overlaps == 0
+        await service.stop()
+    run(work)
+
+
+def test_a_plan_file_serves_without_a_service_and_is_read_again_on_sighup(tmp_path: Path) -> None:
+    async def work() -> None:
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        path = tmp_path / "plan.toml"
+        text = "[version]\nnumber = {}\n[[exchange]]\nnumber = {}\n[[prefix]]\ndigits = \"5\"\nexchange = {}\n"
+        path.write_text(text.format(1, 1, 1))
+        async with program(nodes, versions=settings(file=str(path))) as router:  # type: ignore[arg-type]
+            sip = await SipCaller.connect(router.port)
+            call, _ = await placed(sip, "51")
+            assert nodes[1].seen[call]
+            path.write_text(text.format(2, 1, 2))  # names an exchange that is not listed: refused
+            router.process.send_signal(signal.SIGHUP)
+            await router.logged("settings not taken over")
+            assert "unknown-exchange" in router.log.read_text()
+            path.write_text(text.format(2, 2, 2))
+            router.process.send_signal(signal.SIGHUP)
+            await router.logged("version=1.2")
+            call, _ = await placed(sip, "51")
+            assert nodes[2].seen[call]
+    run(work)
+
+
+def test_two_hundred_versions_in_a_second_hold_up_no_call_of_either_front() -> None:
+    async def work() -> None:
+        service = await ControlService().start()
+        nodes = {n: await BinaryNode().start() for n in (1, 2)}
+        plans = [plan(*(Prefix(f"{d}{at % 10}", 1 + (at + d) % 2) for d in range(40, 60))) for at in range(201)]
+        service.publish(VersionId(1, 1), plans[0])
+        async with program(nodes, versions=settings(service)) as router:  # type: ignore[arg-type]
+            await until(lambda: "in-force" in service.stands(VersionId(1, 1)))
+            sip, api = await SipCaller.connect(router.port), await ApiCaller.connect(router.api_port)
+            by_sip, by_api = [fresh() for _ in range(100)], [fresh() for _ in range(100)]
+            for at in range(200):
+                service.publish(VersionId(1, at + 2), plans[at + 1])
+                if at % 2:
+                    sip.invite(by_sip[at // 2], f"{40 + at % 20}1", 1)
+                else:
+                    api.set_up(by_api[at // 2], f"{40 + at % 20}1", 1)
+                await asyncio.sleep(0.005)
+            await until(lambda: all(c in sip.finals for c in by_sip) and all(api.finals(c) for c in by_api))
+            await until(lambda: "in-force" in service.stands(VersionId(1, 201)))
+            assert {len(sip.finals[c]) for c in by_sip} | {len(api.finals(c)) for c in by_api} == {1}
+            verdicts = {n: service.stands(VersionId(1, n))[0] for n in range(2, 202)}
+            assert all(v == "accepted" or service.reasons(VersionId(1, n)) == ["superseded"]
+                       for n, v in verdicts.items())
+            assert sum(n.overlaps for n in nodes.values()) == 0
+        await service.stop()
+    run(work)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from stand_ins import ApiCaller, ApiNode, BinaryNode, Node, SipCaller, program, until
+from laboratory.stand_ins import ApiCaller, ApiNode, BinaryNode, Node, SipCaller, program, until
 
 IDS = itertools.count(1)
 WORDS = ("good", "full", "fault", "busy", "reset", "cut", "silent")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 import pytest
-from stand_ins import BinaryNode, SipCaller, program, until
+
+from laboratory.stand_ins import BinaryNode, SipCaller, program, until
 
 CALLS = [f"{n:016x}" for n in range(0x500, 0x508)]
 
