--- a/astertrack/__main__.py
+++ b/astertrack/__main__.py
@@ -1,40 +1,38 @@
-"""Start a call router: read what it is told, wire the core to its fronts and peers, and run."""
+"""Start a call router as the platform does: told by RELAY_*, and nothing else. `astertrack run` does the same."""
 
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
+from collections.abc import Mapping
 from typing import Any, cast
 
-import structlog
 from twisted.internet import reactor as default_reactor
 
+from astertrack import logs
 from astertrack.app import App
-from astertrack.config import ConfigError, read_config
+from astertrack.config import Config, ConfigError, read_config
 
 
-def main() -> int:
-    """Run until told to stop; returns the exit code."""
-    structlog.configure(
-        processors=[structlog.processors.TimeStamper(fmt="iso", utc=True), structlog.processors.add_log_level,
-                    structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+def main(environ: Mapping[str, str] = os.environ) -> int:
+    """Run until told to stop; returns the exit code: 0, or 2 for a configuration that cannot be used."""
     try:
-        config = read_config()
-    except ConfigError as wrong:
+        config = read_config(environ)
+        logs.configure(config.gateway.log_format, config.gateway.log_level)
+        return serve(config, cast(Any, default_reactor))
+    except (ConfigError, ValueError) as wrong:
         print(f"astertrack: {wrong}", file=sys.stderr)
-        return 2
-    reactor = cast(Any, default_reactor)
-    try:
-        app = App(config, reactor)
-        app.start()
-    except ConfigError as wrong:
-        print(f"astertrack: {wrong}", file=sys.stderr)
-        return 2
     except OSError as wrong:
         print(f"astertrack: cannot listen: {wrong}", file=sys.stderr)
-        return 2
+    return 2
+
+
+def serve(config: Config, reactor: Any) -> int:
+    """Run a router on a reactor until it is told to stop. Raises ConfigError and OSError before it serves."""
+    app = App(config, reactor)
+    app.start()
 
     def on(number: signal.Signals, do: Any) -> None:
         signal.signal(number, lambda *_: reactor.callFromThread(do))
--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -125,7 +125,8 @@
             return
         self.counts["reloads"] += 1
         log.info("configuration taken over", bulletin=address)
-        self.bulletin.follow(address)
+        if address:
+            self.bulletin.follow(address)
 
     def stop(self) -> None:
         """Finish what is taken, and take what still comes, as the platform has it at a planned restart."""
--- /dev/null
+++ b/astertrack/cli/plan.py
@@ -0,0 +1,85 @@
+"""astertrack plan: make a plan of a file, and ask it."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from astertrack.cli.common import AS_JSON, FILE, FINE, NO, end, fail, plainly, say
+from astertrack.parts.versions import read_plan_file
+from astertrack.plan import Asked
+from astertrack.plan.compiled import DIGITS
+from astertrack.plan.model import ANY, Range
+from astertrack.plan.policy import fits, resolve
+
+
+@click.group("plan")
+def command() -> None:
+    """Make a plan of a file, and ask it where a call goes."""
+
+
+@command.command("compile")
+@click.argument("file", type=FILE)
+@AS_JSON
+@plainly
+def compile_command(file: Path, as_json: bool) -> None:
+    """Make the plan of a file as a router does, and tell its size, digest, time and memory."""
+    began = time.perf_counter()
+    id, plan, _ = read_plan_file(file)
+    took_ms = (time.perf_counter() - began) * 1000
+    tracemalloc.start()
+    held = read_plan_file(file)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    values = {"version": str(id), "records": plan.size, "prefixes": len(plan.numbers), "state": f"{plan.state:064x}",
+              "took_ms": round(took_ms, 1), "memory_kib": memory // 1024,
+              "kinds": {kind: len(records) for kind, records in plan.others.items()}}
+    say(values, as_json, "\n".join(f"{name:10} {value}" for name, value in values.items()))
+
+
+@command.command("lookup")
+@click.argument("file", type=FILE)
+@click.argument("number")
+@click.option("--dest", type=int, default=-1, help="The destination that the caller gives; -1: none.")
+@click.option("--class", "service", default=ANY, help="The class of the call.")
+@click.option("--zone", default=ANY, help="The zone of the router.")
+@AS_JSON
+@plainly
+def lookup(file: Path, number: str, dest: int, service: str, zone: str, as_json: bool) -> None:
+    """Tell where a call to NUMBER goes by the plan in FILE. Exit code 1: it is turned away."""
+    if number.strip(DIGITS) or not number:
+        fail(f"{number!r} is no number: digits 0-9 and letters a-f are")
+    _, plan, _ = read_plan_file(file)
+    hit = plan.numbers.match(number)
+    asked = Asked(number, dest, service, False)
+    found = resolve(plan, asked)
+    values: dict[str, Any] = {"number": number, "prefix": number[:hit[0]] if hit is not None else None}
+    if hit is not None:
+        values["record"] = {"kind": "prefix", "digits": number[:hit[0]], "exchange": hit[1]} if isinstance(
+            hit[1], int) else msgspec.to_builtins(hit[1])
+        if isinstance(hit[1], Range):
+            values["prefix"] = hit[1].key()
+    if not isinstance(found, int):
+        values |= {"turned_away": found[0], "wait_ms": found[2]}
+        say(values, as_json, f"{number}: turned away: {found[0]} {found[1]}".rstrip())
+        end(NO)
+    way = plan.way(found, service, zone)
+    tiers = [sorted(tier) if tier is not None else ["any"] for tier in way.tiers]
+    limits = [limit.name for limit in plan.of("limit").values() if fits(limit, asked, found)]
+    values |= {"exchange": found, "ways": tiers or [["any"]], "never": sorted(way.never), "limits": limits}
+    text = [f"{number}: exchange {found}, by {'prefix ' + str(values['prefix']) if hit else 'its caller'}",
+            "ways: " + (", then ".join("any" if tier == ["any"] else "direct" if tier == [found]
+                                       else "over " + " or ".join(map(str, tier)) for tier in tiers)
+                        or "direct, then any")]
+    if way.never:
+        text.append("never over " + ", ".join(map(str, sorted(way.never))))
+    if limits:
+        text.append("limits: " + ", ".join(limits))
+    say(values, as_json, "\n".join(text))
+    end(FINE)
--- a/astertrack/config.py
+++ b/astertrack/config.py
@@ -14,6 +14,9 @@
 from ospreylug import interface as io
 from ospreylug.wirehost import WireError, read_settings
 
+# Tables of our own file and their fields: an unknown one is a slip of the pen, and is said.
+GATEWAY_FIELDS = {"front": {"listen", "path"}, "store": {"kind", "database"}, "log": {"format", "level"},
+                  "destination": {"name", "address", "path", "number", "zone"}}
 GATEWAY = Path(__file__).resolve().parent.parent / "deploy" / "gateway.toml"
 
 
@@ -41,6 +44,8 @@
     store: str = "off"
     database: str = ""
     destinations: tuple[Destination, ...] = ()
+    log_format: str = "logfmt"
+    log_level: str = "info"
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +84,14 @@
         return Gateway()
     except (OSError, ValueError) as wrong:
         raise ConfigError(f"{path.name}: {wrong}") from None
+    for table, held in raw.items():
+        for item in held if isinstance(held, list) else [held]:
+            unknown = ({table} - set(GATEWAY_FIELDS)) or (
+                set(item) - GATEWAY_FIELDS[table] if isinstance(item, dict) else set())
+            if unknown:
+                known = GATEWAY_FIELDS.get(table, GATEWAY_FIELDS)
+                raise ConfigError(f"{path.name}: {table}: {sorted(unknown)[0]}: not known; known are "
+                                  f"{', '.join(sorted(known))}")
     try:
         front, store = raw.get("front", {}), raw.get("store", {})
         listen = front.get("listen", "")
@@ -94,9 +107,10 @@
             destinations.append(Destination(
                 str(item["name"]), item["address"], str(item.get("path", "/calls")), int(item["number"]),
                 zones.index(zone) if zone in zones else -1))
+        log = raw.get("log", {})
         return Gateway(split_address(listen, f"{path.name}: front.listen") if listen else None,
                        str(front.get("path", "/calls")), kind, str(store.get("database", "")),
-                       tuple(destinations))
+                       tuple(destinations), str(log.get("format", "logfmt")), str(log.get("level", "info")))
     except (KeyError, TypeError, ValueError, AttributeError) as wrong:
         raise ConfigError(f"{path.name}: {wrong!r}") from None
 
@@ -124,7 +138,14 @@
 
 
 def read_bulletin(environ: Mapping[str, str] = os.environ) -> str:
-    """Read the bulletin's address anew, or raise a ConfigError: all that a running router takes over."""
+    """Read the bulletin's address anew, or raise a ConfigError: all that a running router takes over.
+
+    Empty: the configuration is a file of our own that names no bulletin.
+    """
+    if environ.get("RELAY_CONFIG", "").endswith(".toml"):
+        from astertrack.routerfile import read_router_file  # noqa: PLC0415  # not on the platform
+
+        return read_router_file(Path(environ["RELAY_CONFIG"])).router.bulletin
     _, raw = _read_file(environ)
     address = raw.get("bulletin")
     _, port = split_address(address, "bulletin")
--- a/astertrack/plan/policy.py
+++ b/astertrack/plan/policy.py
@@ -67,6 +67,14 @@
     return plan.way(dest, asked.service, zone) if isinstance(dest, int) else dest[0]
 
 
+def fits(limit: Limit, asked: Asked, dest: int) -> bool:
+    """Whether a call to an exchange counts in a limit."""
+    return ((limit.exchange is None or limit.exchange == dest)
+            and limit.service in (ANY, asked.service)
+            and asked.number.startswith(limit.digits)
+            and (limit.transit or not asked.transit))
+
+
 class _Bucket:
     """A token bucket (RFC 2697's idea, with one rate): what is left, and when it was so."""
 
@@ -110,7 +118,7 @@
     def _limited(self, limits: dict[str, Limit], asked: Asked, dest: int,
                  now_us: int) -> tuple[Limit | None, list[Limit]]:
         """Return the first limit that is reached, and all that fit; takes of their rates only if none is."""
-        fitting = [limit for limit in limits.values() if self._fits(limit, asked, dest)]
+        fitting = [limit for limit in limits.values() if fits(limit, asked, dest)]
         for limit in fitting:
             if limit.in_hand is not None and self.in_hand[limit.name] >= limit.in_hand:
                 return limit, fitting
@@ -122,13 +130,6 @@
                 bucket.left, bucket.at_us = bucket.filled(limit, now_us) - 1.0, now_us
         return None, fitting
 
-    @staticmethod
-    def _fits(limit: Limit, asked: Asked, dest: int) -> bool:
-        return ((limit.exchange is None or limit.exchange == dest)
-                and limit.service in (ANY, asked.service)
-                and asked.number.startswith(limit.digits)
-                and (limit.transit or not asked.transit))
-
     def _bucket(self, limit: Limit, now_us: int) -> _Bucket:
         bucket = self._buckets.get(limit.name)
         if bucket is None:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,201 @@
+"""The command line, as a person or a program calls it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from astertrack.cli import main
+from astertrack.config import ConfigError
+from laboratory.stand_ins import ROOT, BinaryNode, free_port, program, until
+
+DEPLOY = ROOT / "deploy"
+PLAN = str(DEPLOY / "example-plan.toml")
+
+
+def call(*words: str, code: int = 0) -> Result:
+    """Call a command, and check its exit code."""
+    result = CliRunner().invoke(main, list(words))
+    assert result.exit_code == code, result.output
+    return result
+
+
+def test_every_command_has_help_worth_reading() -> None:
+    for words in ((), ("run",), ("config",), ("config", "check"), ("config", "show"), ("config", "diff"),
+                  ("config", "explain"), ("plan", "compile"), ("plan", "lookup"), ("versions", "serve"),
+                  ("versions", "status")):
+        text = call(*words, "--help").output
+        assert len(text.splitlines()) > 5
+
+
+def test_all_files_under_deploy_are_sound() -> None:
+    files = [str(path) for path in sorted(DEPLOY.glob("*.toml")) if path.name != "balancer.toml"]
+    results = json.loads(call("config", "check", *files, "--json").stdout)
+    kinds = {Path(r["file"]).name: r["kind"] for r in results}
+    assert kinds["example.toml"] == "router"
+    assert kinds["gateway.toml"] == kinds["example-gateway.toml"] == "gateway"
+    assert kinds["versions.toml"] == kinds["example-versions.toml"] == "versions"
+    assert kinds["example-plan.toml"] == "plan"
+    assert all(r["sound"] for r in results)
+
+
+@pytest.mark.parametrize(("name", "text", "parts"), [
+    ("plan.toml", '[[exchange]]\nnumber = 1\n[[prefix]]\ndigits = "5x"\nexchange = 1\n', ["prefix[0].digits"]),
+    ("plan.toml", '[[exchange]]\nnumber = 1\n[[prefix]]\ndigits = "5"\nexchange = 7\n',
+     ["prefix '5'", "unknown-exchange", "exchange 7 is not listed"]),
+    ("plan.toml", "[[prefix]\n", ["line 1"]),
+    ("versions.toml", '[service]\nadress = "x"\n', ["service", "adress"]),
+    ("versions.toml", '[service]\naddress = "nowhere"\n', ["service.address", "host:port"]),
+    ("versions.toml", "[probation]\nseconds = -1\n", ["probation.seconds"]),
+    ("gateway.toml", '[front]\nlisten = "127.0.0.1:1"\nport = 3\n', ["front", "port", "not known"]),
+    ("gateway.toml", "[fornt]\n", ["fornt", "not known"]),
+    ("router.toml", '[router]\nname = "a"\nexchange = 0\n', ["router", "listen"]),
+    ("router.toml", '[router]\nname = "a"\nexchange = 0\nlisten = "x:1"\n[[class]]\nname = "c"\naim_ms = 5\n'
+                    "deadline_ms = 4\n", ["class[0].deadline_ms"]),
+    ("router.toml", '[router]\nname = "a"\nexchange = 0\nlisten = "x:1"\n[[class]]\nname = "c"\naim_ms = 5\n'
+                    'deadline_ms = 9\n[[peer]]\nname = "p"\naddress = "h:1"\nexchange = 0\n', ["peer[0].exchange"])])
+def test_an_unsound_file_is_told_with_its_field_and_what_was_expected(tmp_path: Path, name: str, text: str,
+                                                                      parts: list[str]) -> None:
+    path = tmp_path / name
+    path.write_text(text)
+    output = call("config", "check", str(path), code=1).stdout
+    assert str(path) in output or name in output
+    for part in parts:
+        assert part in output
+    result = json.loads(call("config", "check", "--json", str(path), code=1).stdout)
+    assert not result[0]["sound"]
+    call("config", "check", str(tmp_path / "nowhere"), code=2)
+
+
+def test_a_plan_is_compiled_and_asked() -> None:
+    told = json.loads(call("plan", "compile", "--json", PLAN).stdout)
+    assert (told["version"], told["records"]) == ("1.1", 10)
+    asked = json.loads(call("plan", "lookup", PLAN, "535801", "--class", "declaration-save", "--json").stdout)
+    assert (asked["exchange"], asked["prefix"], asked["ways"]) == (3, "53580", [[3], [2]])
+    assert asked["limits"] == ["saves to fes-2"]
+    barred = json.loads(call("plan", "lookup", PLAN, "09001", "--json", code=1).stdout)
+    assert (barred["turned_away"], barred["wait_ms"]) == ("barred", 60000)
+    assert json.loads(call("plan", "lookup", PLAN, "1", "--dest", "2", "--json").stdout)["exchange"] == 2
+    call("plan", "lookup", PLAN, "1", code=1)
+    call("plan", "lookup", PLAN, "x", code=2)
+    call("plan", "compile", "/nowhere", code=2)
+
+
+def test_files_are_shown_compared_and_explained(tmp_path: Path) -> None:
+    shown = json.loads(call("config", "show", "--json", str(DEPLOY / "example.toml")).stdout)
+    assert shown["settings"]["max_attempts"] == 6
+    assert "plan.file" in call("config", "show", str(DEPLOY / "example-versions.toml")).stdout
+    changed = tmp_path / "plan.toml"
+    changed.write_text((DEPLOY / "example-plan.toml").read_text().replace('digits = "522"', 'digits = "523"'))
+    lines = json.loads(call("config", "diff", "--json", PLAN, str(changed), code=1).stdout)
+    assert lines == [{"kind": "drop", "of": "prefix", "key": "522"}, {"kind": "prefix", "digits": "523", "exchange": 1}]
+    call("config", "diff", PLAN, PLAN)
+    call("config", "diff", str(DEPLOY / "versions.toml"), str(DEPLOY / "example-versions.toml"), code=1)
+    call("config", "diff", PLAN, str(DEPLOY / "example.toml"), code=2)
+    assert "barred" in call("config", "explain").stdout
+    assert "at least 0" in call("config", "explain", "prefix.exchange").stdout
+    call("config", "explain", "whim", code=2)
+    call("config", "explain", "prefix.whim", code=2)
+
+
+def test_a_folder_publishes_what_is_newer_and_says_what_is_wrong(tmp_path: Path) -> None:
+    from astertrack.cli.versions import Folder  # noqa: PLC0415
+
+    published: list[str] = []
+    folder = Folder(tmp_path, lambda id, plan, at: published.append(str(id)))
+    text = "[version]\nnumber = {}\n[[exchange]]\nnumber = 1\n"
+    (tmp_path / "b.toml").write_text(text.format(2))
+    (tmp_path / "a.toml").write_text(text.format(1))
+    (tmp_path / "c.toml").write_text("[[prefix]]\n")
+    wrong = folder.look()
+    assert published == ["1.1", "1.2"]
+    assert len(wrong) == 1
+    assert "c.toml" in wrong[0]
+    assert folder.look() == []
+    (tmp_path / "a.toml").write_text(text.format(1) + "# changed\n")
+    assert "a number of its own" in folder.look()[0]
+    (tmp_path / "c.toml").write_text(text.format(3))
+    assert folder.look() == []
+    assert published == ["1.1", "1.2", "1.3"]
+
+
+def astertrack(*words: str, **more: Any) -> list[str]:
+    """The words of a command, started as a program."""
+    return [sys.executable, "-c", "from astertrack.cli import main; main()", *words]
+
+
+def test_a_router_follows_a_folder_and_status_tells_how_it_stands(tmp_path: Path) -> None:
+    async def work() -> None:
+        port, folder = free_port(), tmp_path / "versions"
+        folder.mkdir()
+        text = "[version]\nnumber = {}\n[[exchange]]\nnumber = 1\n[[prefix]]\ndigits = \"{}\"\nexchange = {}\n"
+        (folder / "1.toml").write_text(text.format(1, 5, 1))
+        service = await asyncio.create_subprocess_exec(
+            *astertrack("versions", "serve", str(folder), "--listen", f"127.0.0.1:{port}", "--log-format", "json"),
+            cwd=ROOT, stderr=(tmp_path / "log").open("w"))
+        node = await BinaryNode().start()
+        try:
+            settings = f'[service]\naddress = "127.0.0.1:{port}"\n[probation]\nseconds = 0\n'
+            async with program({1: node}, versions=settings) as router:
+                await router.logged("version=1.1")
+                (folder / "2.new").write_text(text.format(2, 6, 1))
+                (folder / "2.new").replace(folder / "2.toml")
+                await router.logged("version=1.2")
+                (folder / "3.toml").write_text(text.format(3, 6, 9))
+                await until(lambda: "unknown-exchange" in (tmp_path / "log").read_text())
+                await until(lambda: '"stand": "settled"' in (tmp_path / "log").read_text())
+                done = await asyncio.to_thread(subprocess.run, astertrack(
+                    "versions", "status", "--service", f"127.0.0.1:{port}", "--json"), cwd=ROOT, capture_output=True,
+                    text=True, check=False, timeout=20)
+                rows = {row["number"]: row["stand"] for row in json.loads(done.stdout)}
+                assert rows[2] == "settled"
+                assert rows[1] == "superseded"
+                assert done.returncode == 0
+                assert all(json.loads(line)["event"] for line in (tmp_path / "log").read_text().splitlines())
+        finally:
+            service.terminate()
+            await service.wait()
+        done = await asyncio.to_thread(subprocess.run, astertrack("versions", "status", "--service",
+                                                                  f"127.0.0.1:{port}"),
+                                       cwd=ROOT, capture_output=True, text=True, check=False, timeout=20)
+        assert done.returncode == 2
+        assert "no answer" in done.stderr
+    asyncio.run(work())
+
+
+def test_the_first_look_shows_a_call_of_each_front_answered() -> None:
+    done = subprocess.run([sys.executable, "-m", "laboratory.demo", "--once", "--free-ports"], cwd=ROOT, check=False,
+                          capture_output=True, text=True, timeout=60, env=dict(os.environ))
+    assert done.returncode == 0, done.stderr
+    assert "INVITE to 5221234 -> 200" in done.stdout
+    assert "'type': 'answer'" in done.stdout
+
+
+def test_run_says_what_is_wrong_in_one_line(tmp_path: Path) -> None:
+    bad = tmp_path / "router.toml"
+    bad.write_text("[router]\n")
+    for words in (("run", "--config", str(bad)), ("run", "--config", str(tmp_path / "none.json"))):
+        done = subprocess.run(astertrack(*words), cwd=ROOT, capture_output=True, text=True, check=False, timeout=30,
+                              env={**os.environ, "ASTERTRACK_GATEWAY": str(tmp_path / "none")})
+        assert done.returncode == 2
+        assert done.stderr.startswith("astertrack: ")
+        assert done.stderr.count("\n") == 1
+
+
+def test_a_router_file_gives_the_platforms_rules_by_default() -> None:
+    from astertrack.cli.run import load  # noqa: PLC0415
+
+    config = load(DEPLOY / "example.toml")
+    assert config.settings.release_us == 300_000
+    assert config.settings.max_attempts == 6
+    assert [service.worth for service in config.settings.classes] == [1.0, 8.0]
+    with pytest.raises(ConfigError, match="nowhere"):
+        load(Path("/nowhere.toml"))
