Measure versions under calls; let the disk's thread handle few large pieces

Seen: stand-in nodes told their free circuits only once, so that 93% of the calls were refused for want of circuits; a load in the service's own process was held up by it; turns of 22 ms of wall time at 7 ms of processor time, while the store's thread joined 100,000 lines.

--- a/astertrack/net/control.py
+++ b/astertrack/net/control.py
@@ -303,22 +303,20 @@
         until, now = began + TURN_US / 1e6, self.clock.now_us()
         while self._pieces(now) and time.perf_counter() < until:
             pass
-        before = time.perf_counter()
-        in_force = self.versions.in_force
         self.carry_out()
-        if self.versions.in_force is not in_force:
-            self.swapped(before)
         self.turned(began)
         self.check()
 
     def _pieces(self, now_us: int) -> bool:
         """Do a few pieces of checking; False: there is nothing left to do now."""
-        return all(self.versions.work(now_us) for _ in range(PIECES))
-
-    def swapped(self, began: float) -> None:
-        """Note how long it took to put a version in force."""
-        self.swap_us.append(int((time.perf_counter() - began) * 1e6))
-        del self.swap_us[:-1000]
+        for _ in range(PIECES):
+            in_force, began = self.versions.in_force, time.perf_counter()
+            if not self.versions.work(now_us):
+                return False
+            if self.versions.in_force is not in_force:  # that piece put a version in force
+                self.swap_us.append(int((time.perf_counter() - began) * 1e6))
+                del self.swap_us[:-1000]
+        return True
 
     def carry_out(self) -> None:
         """Do what the versions ask for."""
--- a/astertrack/parts/versions.py
+++ b/astertrack/parts/versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -19,10 +20,11 @@
 from astertrack.net.control import TICK_US, ControlClient
 from astertrack.parts import read_tables
 from astertrack.parts.model import Given
-from astertrack.plan import Asked, Desk, Passed, Plan, Refused, Turned, build
+from astertrack.plan import Asked, Desk, Passed, Plan, Refused, Turned, build, write_line
 from astertrack.plan.files import read_plan
 from astertrack.store.versions import VersionFiles
 from astertrack.versions import (
+    Header,
     InForce,
     Keep,
     Outcome,
@@ -273,7 +275,7 @@
         if files is None:
             return
         if isinstance(action, Keep):
-            self._in_thread("keep", lambda: files.keep(action.document))
+            self._in_thread("keep", lambda: files.keep(action.header, action.text))
             return
         id = action.id
         if files.long(id) and self.versions.in_force is not None and self.versions.in_force.id == id:
@@ -295,22 +297,32 @@
 
     def _write_whole(self, id: VersionId, plan: Plan) -> None:
         """Write a plan that stands on many deltas as one full version, a few lines a turn."""
-        lines: list[Any] = []
+        pieces: list[bytes] = []
+        counted = [0, 0]  # records, octets
 
         def some(records: Iterator[Any]) -> None:
-            for _ in range(LINES_A_TURN):
-                record = next(records, None)
-                if record is None:
-                    if (files := self.files) is not None:
-                        self._in_thread("keep", lambda: files.keep(make_document(id, lines, plan.state)))
-                        self._in_thread("point", lambda: files.point(id))
-                    return
-                lines.append(record)
-            self.given.reactor.callLater(0, some, records)
+            lines = [write_line(record) for record, _ in zip(records, range(LINES_A_TURN), strict=False)]
+            if lines:
+                pieces.append(b"\n".join((*lines, b"")))
+                counted[0] += len(lines)
+                counted[1] += len(pieces[-1])
+                self.given.reactor.callLater(0, some, records)
+            elif (files := self.files) is not None:
+                header = Header(id.epoch, id.number, counted[0], counted[1], digest_of(pieces), f"{plan.state:064x}")
+                self._in_thread("keep", lambda: files.keep(header, pieces))
+                self._in_thread("point", lambda: files.point(id))
 
         some(plan.records())
 
 
+def digest_of(pieces: list[bytes]) -> str:
+    """Return the SHA-256 of a text in pieces."""
+    digest = hashlib.sha256()
+    for piece in pieces:
+        digest.update(piece)
+    return digest.hexdigest()
+
+
 def make(given: Given, path: Path) -> VersionsPart:
     """Make the part; raises ConfigError."""
     return VersionsPart(given, path)
--- a/astertrack/store/versions.py
+++ b/astertrack/store/versions.py
@@ -11,14 +11,14 @@
 import contextlib
 import hashlib
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
 from astertrack.plan import Building, Plan, Refused, read_line
-from astertrack.versions import Document, VersionId, read_header, write_header
+from astertrack.versions import Header, VersionId, read_header, write_header
 
 POINTER, BEFORE = "current", "previous"
 CHAIN_MOST = 64  # deltas on one full version; beyond that a full one is written
@@ -67,12 +67,15 @@
         self.folder, self._step = folder, step
         self._chains: dict[VersionId, list[_Link]] = {}
 
-    def _write(self, name: str, data: bytes) -> None:
-        """Write a file whole or not at all, whenever the power goes."""
+    def _write(self, name: str, pieces: Iterable[bytes]) -> str:
+        """Write a file whole or not at all, whenever the power goes; return the digest of what it holds."""
+        digest = hashlib.sha256()
         beside = self.folder / f".{name}.new"
         self._step("write")
         with beside.open("wb") as out:
-            out.write(data)
+            for piece in pieces:
+                digest.update(piece)
+                out.write(piece)
             out.flush()
             self._step("fsync")
             os.fsync(out.fileno())
@@ -80,21 +83,23 @@
         beside.replace(self.folder / name)
         self._step("sync folder")
         sync_folder(self.folder)
+        return digest.hexdigest()
 
-    def keep(self, document: Document) -> bool:
-        """Write an accepted version; False: it is a delta on one that is not here, and cannot be kept."""
+    def keep(self, header: Header, text: Iterable[bytes]) -> bool:
+        """Write an accepted version, whose text may come in pieces of any size.
+
+        False: it is a delta on one that is not here, and cannot be kept.
+        """
         self.folder.mkdir(parents=True, exist_ok=True)
-        header = document.header
         before: list[_Link] = []
         if header.kind == "delta":
             found = self._chains.get(VersionId(header.epoch, header.base or 0))
             if found is None:
                 return False
             before = found
-        data = write_header(header) + b"\n" + document.text()
         name = f"{header.epoch}.{header.number}.{header.kind}"
-        self._write(name, data)
-        self._chains[header.id] = [*before, _Link(name, hashlib.sha256(data).hexdigest())]
+        digest = self._write(name, (write_header(header) + b"\n", *text))
+        self._chains[header.id] = [*before, _Link(name, digest)]
         return True
 
     def long(self, id: VersionId) -> bool:
@@ -108,8 +113,8 @@
             return False
         current = self.folder / POINTER
         if current.exists():
-            self._write(BEFORE, current.read_bytes())
-        self._write(POINTER, msgspec.json.encode(_Pointer(id.epoch, id.number, chain)))
+            self._write(BEFORE, (current.read_bytes(),))
+        self._write(POINTER, (msgspec.json.encode(_Pointer(id.epoch, id.number, chain)),))
         self._clean(id)
         return True
 
--- a/astertrack/versions/machine.py
+++ b/astertrack/versions/machine.py
@@ -249,9 +249,9 @@
         self.newest = header.id
         since_us = max(header.in_force_ms * 1000, now_us)
         self._remember(header, self._report(header.id, Stand.ACCEPTED, now_us))
-        document = done.document()
-        if document is not None:
-            self._actions.append(Keep(document))
+        text = done.text()
+        if text is not None:
+            self._actions.append(Keep(header, text))
         for older in [v for v in self.scheduled if v.since_us >= since_us]:
             self.scheduled.remove(older)  # it would take this one's place, though it is older
             self._stand(older.id, Stand.SUPERSEDED, now_us)
--- a/astertrack/versions/model.py
+++ b/astertrack/versions/model.py
@@ -151,9 +151,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Keep:
-    """Write an accepted document to the store, where there is one."""
+    """Write an accepted version to the store, where there is one. Its text comes in the pieces in which it came.
 
-    document: Document
+    Few large pieces, not lines: a thread that handled 100,000 of those would keep the program's lock from the calls.
+    """
+
+    header: Header
+    text: tuple[bytes, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/astertrack/versions/receiving.py
+++ b/astertrack/versions/receiving.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from astertrack.plan import Building, Finding, Plan, Reason, Refused, read_line
-from astertrack.versions.model import LINE_MOST, Document, Header
+from astertrack.versions.model import LINE_MOST, Header
 
 
 class Phase(Enum):
@@ -71,12 +71,13 @@
             if len(line) > LINE_MOST:
                 self.refuse(Finding(Reason.TOO_LARGE, f"a record of at most {LINE_MOST} octets", self._lines))
                 return
-            self._digest.update(line + b"\n")
             if self._suspect is None:
                 self._waiting.append(line)
                 self.waiting += len(line)
-            if self._kept is not None:
-                self._kept.append(line)
+        text = b"\n".join((*lines, b""))
+        self._digest.update(text)
+        if self._kept is not None:
+            self._kept.append(text)
 
     def end(self) -> None:
         """All has come: compare it with what the head said."""
@@ -127,6 +128,6 @@
             return
         self.plan, self.phase, self._closing, self._building = plan, Phase.CHECKED, None, None
 
-    def document(self) -> Document | None:
-        """Return the whole version for the store, if its text was kept."""
-        return None if self._kept is None else Document(self.header, tuple(self._kept))
+    def text(self) -> tuple[bytes, ...] | None:
+        """Return the whole text for the store, in pieces, if it was kept."""
+        return None if self._kept is None else tuple(self._kept)
--- a/laboratory/stand_ins.py
+++ b/laboratory/stand_ins.py
@@ -21,6 +21,7 @@
 from astertrack.wire import peer, sip
 
 ROOT = Path(__file__).resolve().parent.parent
+CIRCUITS = 100  # of a stand-in exchange's group
 BOUND_S = 20.0  # no wait is longer
 
 SETTINGS = {
@@ -102,15 +103,30 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Tell the group's state, then answer set-ups."""
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):  # cancelled: the loop ends
+            await self.converse(reader, writer)
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Speak on one connection until it ends."""
         self.writers.append(writer)
         stream = peer.Stream()
-        writer.write(peer.encode(peer.Message(peer.Type.GROUP_STATE, "0" * 16,
-                                              {peer.Code.REPORT: b"x0:100;x1:100;eps:0"})))
+        self.state(writer)
         while data := await reader.read(4096):
             for message in stream.receive(data):
                 assert isinstance(message, peer.Message)
                 self.heard(message, writer)
 
+    def state(self, writer: asyncio.StreamWriter) -> None:
+        """Tell how many circuits of the group are free: at the start, and whenever one has become so."""
+        taken = sum(count > 0 for count in self.out.values())
+        self.say(writer, peer.Type.GROUP_STATE, "0" * 16, {
+            peer.Code.REPORT: f"x0:{max(0, CIRCUITS - taken)};x1:{CIRCUITS};eps:0".encode()})
+
+    def free(self, call: str, writer: asyncio.StreamWriter) -> None:
+        """A call holds its circuit no longer."""
+        if self.out.pop(call, 0):
+            self.state(writer)
+
     def heard(self, message: peer.Message, writer: asyncio.StreamWriter) -> None:
         """Act on one message."""
         call = message.call
@@ -122,7 +138,7 @@
                                    message.parameters[peer.Code.DESCRIPTION], writer))
         elif message.type == peer.Type.RELEASE:
             self.released.append((call, message.parameters[peer.Code.CAUSE][0]))
-            self.out[call] = 0
+            self.free(call, writer)
             self.standing.discard(call)
 
     def say(self, writer: asyncio.StreamWriter, kind: peer.Type, call: str,
@@ -132,7 +148,7 @@
 
     def end(self, writer: asyncio.StreamWriter, call: str, cause: int, note: bytes = b"") -> None:
         """Release a call or a set-up."""
-        self.out[call] = 0
+        self.free(call, writer)
         self.standing.discard(call)
         self.say(writer, peer.Type.RELEASE, call,
                  {peer.Code.CAUSE: bytes((cause,)), **({peer.Code.NOTE: note} if note else {})})
@@ -359,7 +375,8 @@
 
 @contextlib.asynccontextmanager
 async def program(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
-                  gateway: str = "", bulletin: str = "", versions: str = "") -> AsyncIterator[Program]:
+                  gateway: str = "", bulletin: str = "", versions: str = "",
+                  module: str = "astertrack") -> AsyncIterator[Program]:
     """Start the program between these stand-in exchanges, by number; versions: the text of its versions.toml."""
     port, api_port = free_port(), free_port()
     with tempfile.TemporaryDirectory() as folder:
@@ -379,7 +396,7 @@
         log = here / "log"
         with log.open("w") as sink:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "astertrack", cwd=ROOT, stderr=sink,
+                sys.executable, "-m", module, cwd=ROOT, stderr=sink,
                 env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{port}",
                      "RELAY_CONFIG": str(here / "config.json"),
                      "ASTERTRACK_GATEWAY": str(here / "gateway.toml"),
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -503,6 +503,11 @@
     """It goes."""
 
 
+def keep(files: VersionFiles, sent: Document) -> bool:
+    """Write a document."""
+    return files.keep(sent.header, (sent.text(),))
+
+
 def kept(files: VersionFiles) -> str:
     """Which version a start finds, and that it is whole."""
     found, _ = VersionFiles(files.folder).load()
@@ -519,7 +524,7 @@
 
     def write(files: VersionFiles, number: int) -> None:
         base = plans[number - 1] if number > 1 else None
-        assert files.keep(document(number, plans[number], base=base, of=number - 1))
+        assert keep(files, document(number, plans[number], base=base, of=number - 1))
         assert files.point(VersionId(1, number))
     for number in (1, 2, 3):
         write(counting, number)
@@ -548,7 +553,7 @@
 def test_a_spoilt_file_falls_back_to_the_version_before_and_says_so(tmp_path: Path) -> None:
     files = VersionFiles(tmp_path)
     for number in (1, 2):
-        assert files.keep(document(number, plan(Prefix("5", number % 3 + 1))))
+        assert keep(files, document(number, plan(Prefix("5", number % 3 + 1))))
         assert files.point(VersionId(1, number))
     (tmp_path / "1.2.full").write_bytes((tmp_path / "1.2.full").read_bytes()[:-5])
     found, wrong = VersionFiles(tmp_path).load()
@@ -568,7 +573,7 @@
         control.send(sent)
     for action in control.actions:
         if isinstance(action, Keep):
-            assert files.keep(action.document)
+            assert files.keep(action.header, action.text)
         elif isinstance(action, Point):
             assert files.point(action.id)
     found, wrong = VersionFiles(tmp_path).load()
@@ -586,10 +591,10 @@
 def test_a_delta_on_what_is_not_kept_is_not_kept_and_long_chains_are_told(tmp_path: Path) -> None:
     files = VersionFiles(tmp_path)
     plans = [plan(Prefix("5", n % 3 + 1)) for n in range(CHAIN_MOST + 3)]
-    assert not files.keep(document(2, plans[2], base=plans[1], of=1))
+    assert not keep(files, document(2, plans[2], base=plans[1], of=1))
     assert not files.point(VersionId(1, 2))
-    assert files.keep(document(1, plans[1]))
+    assert keep(files, document(1, plans[1]))
     for number in range(2, CHAIN_MOST + 2):
-        assert files.keep(document(number, plans[number], base=plans[number - 1], of=number - 1))
+        assert keep(files, document(number, plans[number], base=plans[number - 1], of=number - 1))
     assert files.long(VersionId(1, CHAIN_MOST + 1))
     assert not files.long(VersionId(1, CHAIN_MOST))
