--- a/astertrack/gossip/model.py
+++ b/astertrack/gossip/model.py
@@ -13,7 +13,7 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_MOST)]
 Address = Annotated[str, msgspec.Meta(max_length=64)]
 Signature = Annotated[bytes, msgspec.Meta(max_length=80)]
-Number = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class State(IntEnum):
