Drop a peer's connection when an answer that stopped short swallows what comes behind it

Cause: the parser waits 300 ms for the rest of a message, and a message that comes within that time fills it up (astertrack/net/peers.py, dataReceived); the call got its own answer's head with a group's state behind it.

Change: an answer with control characters, where the offer has none, is taken for spoilt; its connection is given up and the set-up is tried again. Every swallowed message begins with one: the high octet of its length.

--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -28,6 +29,7 @@
 NOTES = {"congestion": io.Cause.NO_CIRCUIT, "crankback": io.Cause.CRANKBACK,
          "remote_throttled": io.Cause.CRANKBACK_FULL, "throttled": io.Cause.PROCESSOR_FULL,
          "engaged": io.Cause.LINES_BUSY}
+CONTROL = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")  # what no text has; tab, CR and LF are text
 FIELDS = {"x0": "free", "x1": "size", "queue": "backlog", "inflight": "outstanding", "util": "utilization",
           "latency_ms": "recent_ms", "qps": "can_take", "eps": "hold_back"}
 
@@ -64,6 +66,12 @@
                 log.warning("peer sent what cannot be read", peer=self.link.name, reason=str(wrong))
                 self.link.drop(self)
                 return
+            if isinstance(event, wire.Answered) and self.link.swallowed(event):
+                self.link.counts["peer_swallowed"] += 1
+                log.warning("peer stopped short in an answer, and went on behind it", peer=self.link.name,
+                            call=event.call)
+                self.link.drop(self)
+                return
             if event is not None:
                 self.link.heard(event)
             if self.done:
@@ -125,6 +133,17 @@
         if self.connection is not None:
             self._write(wire.test(call))
 
+    def swallowed(self, event: wire.Answered) -> bool:
+        """Whether an answer that stopped short was filled up by a message behind it.
+
+        Guards a caller against an answer that no peer gave: each message begins with the high octet of its length,
+        which under 8 KiB is a control character, and descriptions are text. One that is offered with control
+        characters may be answered with some.
+        """
+        call = self.router.calls.get(event.call)
+        return (call is not None and CONTROL.search(event.description) is not None
+                and CONTROL.search(call.request.description) is None)
+
     def heard(self, event: wire.Event) -> None:
         """Tell the core what the peer said."""
         match event:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -145,6 +145,28 @@
     assert ONE in peer.router.calls  # it stands: no connection owns it
 
 
+@pytest.mark.parametrize("apart", [False, True])
+@pytest.mark.parametrize("missing", [1, 2, 5, 11])
+def test_a_message_behind_one_that_stopped_short_is_not_taken_for_its_rest(apart: bool, missing: int) -> None:
+    """A long day: an answer broke off, a state of the group filled it up, and a caller was told both as the answer."""
+    peer = peer_up(ONE)
+    cut = wire.encode(wire.Message(wire.Type.ANSWER, ONE, {wire.Code.DESCRIPTION: b"c=IN IP4 10.4.7.9"}))[:-missing]
+    state = wire.encode(wire.Message(wire.Type.GROUP_STATE, "0" * 16, {wire.Code.REPORT: b"x0:12;x1:40;eps:0"}))
+    for data in (cut, state) if apart else (cut + state,):
+        peer.up.dataReceived(data)
+    assert not peer.world.finals
+    assert peer.transports[0].aborted
+    assert peer.counts["peer_swallowed"] + peer.counts["peer_malformed"] == 1
+
+
+def test_a_description_with_control_characters_passes_where_the_offer_has_them_too() -> None:
+    peer = peer_up(ONE)
+    peer.router.calls[ONE].request.description = b"\0binary"
+    peer.up.dataReceived(wire.encode(wire.Message(wire.Type.ANSWER, ONE, {wire.Code.DESCRIPTION: b"\0\1theirs"})))
+    assert peer.world.finals == {ONE: 1}
+    assert not peer.transports[0].aborted
+
+
 def test_a_good_answer_counts_with_a_copy_or_an_unknown_id_beside_it() -> None:
     peer = peer_up(ONE)
     peer.answers("f" * 16)
