--- a/astertrack/parts/versions.py
+++ b/astertrack/parts/versions.py
@@ -16,6 +16,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.failure import Failure
 
+from astertrack.checking import expected_at
 from astertrack.config import ConfigError, split_address
 from astertrack.core import Admission, Final, Narrowing, Policy, Refusal, Request, Router
 from astertrack.net.control import TICK_US, ControlClient
@@ -81,8 +82,8 @@
     try:
         settings = msgspec.convert(read_tables(path), Settings)
     except msgspec.ValidationError as wrong:
-        expected, _, field = str(wrong).partition(" - at `$")
-        raise ConfigError(f"{path}: {field.rstrip('`').lstrip('.') or 'the file'}: {expected}") from None
+        expected, field = expected_at(wrong)
+        raise ConfigError(f"{path}: {field or 'the file'}: {expected}") from None
     if settings.service.address:
         _, port = split_address(settings.service.address, f"{path}: service.address")
         if not port:
--- a/astertrack/plan/files.py
+++ b/astertrack/plan/files.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from astertrack.checking import expected_at
 from astertrack.plan.model import KINDS, Finding, Reason, Record, Refused, from_table
 
 
@@ -39,8 +40,8 @@
         try:
             head = msgspec.convert(version, VersionTable)
         except msgspec.ValidationError as wrong:
-            expected, _, path = str(wrong).partition(" - at `$")
-            raise Refused(Finding(Reason.SCHEMA, expected, 0, "version" + path.rstrip("`"))) from None
+            expected, path = expected_at(wrong)
+            raise Refused(Finding(Reason.SCHEMA, expected, 0, f"version.{path}".rstrip("."))) from None
     records: list[Record] = []
     for kind, held in raw.items():
         if kind not in KINDS:
--- a/astertrack/plan/model.py
+++ b/astertrack/plan/model.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from astertrack.checking import expected_at
+
 NUMBER_MOST = 32  # characters of a prefix: a number called has 16 on the platform, 15 by E.164
 RANGE_MOST = 400  # prefixes that one range may stand for; one of n digits needs 18 n at most
 TANDEMS_MOST = 64  # exchanges in one choice
@@ -218,13 +220,12 @@
 
 _lines: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
 _encoder = msgspec.json.Encoder(order="deterministic")
-_WHERE = " - at `$"
 
 
 def _finding(wrong: Exception, line: int) -> Finding:
     """Turn the checker's words into ours: what was expected, and the path to the field."""
-    text, _, path = str(wrong).partition(_WHERE)
-    return Finding(Reason.SCHEMA, text[:1].lower() + text[1:], line, path.rstrip("`").lstrip("."))
+    expected, path = expected_at(wrong)
+    return Finding(Reason.SCHEMA, expected, line, path)
 
 
 def read_line(raw: bytes | str, line: int) -> Line:
--- a/astertrack/routerfile.py
+++ b/astertrack/routerfile.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from astertrack.checking import expected_at
 from astertrack.config import Config, ConfigError, read_gateway, split_address
 from ospreylug import interface as io
 
@@ -88,8 +89,8 @@
         raw: dict[str, Any] = tomllib.loads(path.read_text("utf-8"))
         return msgspec.convert(raw, RouterFile)
     except msgspec.ValidationError as wrong:
-        expected, _, field = str(wrong).partition(" - at `$")
-        raise ConfigError(f"{path}: {field.rstrip('`').lstrip('.') or 'the file'}: {expected}") from None
+        expected, field = expected_at(wrong)
+        raise ConfigError(f"{path}: {field or 'the file'}: {expected}") from None
     except (OSError, ValueError) as wrong:
         raise ConfigError(f"{path}: {wrong}") from None
 
--- a/astertrack/versions/model.py
+++ b/astertrack/versions/model.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from astertrack.checking import expected_at
 from astertrack.plan import Finding, Plan, Reason, Refused, write_line
 from astertrack.plan.model import Line
 
@@ -69,8 +70,8 @@
     try:
         return _headers.decode(raw)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as wrong:
-        expected, _, path = str(wrong).partition(" - at `$")
-        raise Refused(Finding(Reason.SCHEMA, expected, 0, path.rstrip("`").lstrip("."))) from None
+        expected, path = expected_at(wrong)
+        raise Refused(Finding(Reason.SCHEMA, expected, 0, path)) from None
 
 
 def write_header(header: Header) -> bytes:
--- a/astertrack/wire/common.py
+++ b/astertrack/wire/common.py
@@ -32,6 +32,18 @@
         raise Unreadable("not UTF-8") from None
 
 
+def cut_head(buffer: bytearray) -> list[str] | None:
+    """Cut the head of an HTTP message off a buffer, and return its lines; None: it is not whole yet."""
+    end = buffer.find(b"\r\n\r\n")
+    if end > LIMIT or (end < 0 and len(buffer) > LIMIT):
+        raise Unreadable("head too long")
+    if end < 0:
+        return None
+    lines = text(bytes(buffer[:end])).split("\r\n")
+    del buffer[:end + 4]
+    return lines
+
+
 def whole(raw: str, name: str, least: int = 0, most: int = 2**53) -> int:
     """Read a whole number of plain digits: int() would take signs, spaces and underscores, too."""
     digits = raw.removeprefix("-")
--- a/astertrack/wire/http.py
+++ b/astertrack/wire/http.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+from astertrack.wire.common import Malformed, Unreadable, cut_head, whole
 
 BODY_MOST = 512 * 1024  # octets of a body: a batch of reports has under 128 KiB
 
@@ -60,12 +60,10 @@
         return result
 
     def _read_head(self) -> bool:
-        end = self._buffer.find(b"\r\n\r\n")
-        if end > LIMIT or (end < 0 and len(self._buffer) > LIMIT):
-            raise Unreadable("head too long")
-        if end < 0:
+        head = cut_head(self._buffer)
+        if head is None:
             return False
-        first, *lines = text(bytes(self._buffer[:end])).split("\r\n")
+        first, *lines = head
         headers: dict[str, str] = {}
         for line in lines:
             name, colon, value = line.partition(":")
@@ -85,7 +83,6 @@
             if len(words) < 2 or not words[0].startswith("HTTP/1."):
                 raise Unreadable("not a status line")
             self._head = Message("", "", whole(words[1], "status", 100, 599), headers)
-        del self._buffer[:end + 4]
         return True
 
 
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from astertrack.wire.common import LIMIT, Malformed, Unreadable, text, whole
+from astertrack.wire.common import LIMIT, Malformed, Unreadable, cut_head, text, whole
 
 LIST_LIMIT = 64 * LIMIT  # octets of one event: the first holds the whole list
 
@@ -68,12 +68,10 @@
         return events
 
     def _head(self) -> bool:
-        end = self._buffer.find(b"\r\n\r\n")
-        if end > LIMIT or (end < 0 and len(self._buffer) > LIMIT):
-            raise Unreadable("head too long")
-        if end < 0:
+        head = cut_head(self._buffer)
+        if head is None:
             return False
-        first, *lines = text(bytes(self._buffer[:end])).split("\r\n")
+        first, *lines = head
         words = first.split(" ")
         if not words[0].startswith("HTTP/1.") or words[1:2] != ["200"]:
             raise Unreadable("no 200 in answer")
@@ -81,7 +79,6 @@
             name, _, value = line.partition(":")
             if name.strip().lower() == "transfer-encoding":
                 self._chunked = value.strip().lower() == "chunked"
-        del self._buffer[:end + 4]
         self._headed = True
         return True
 
--- a/benchmarks/config_versions.py
+++ b/benchmarks/config_versions.py
@@ -335,6 +335,17 @@
         "swap_ms_p99": counts["versions_swap_p99_us"] / 1000, "seconds": round(time.monotonic() - began, 1)}
 
 
+async def without(seed: int, seconds: float, rate: float) -> dict[str, Any]:
+    """Play the calls alone, with no plan and no service: the turns that are not the versions'."""
+    load = await Load.start(4, seed, rate, seconds)
+    async with program(load.nodes, module="laboratory.watched") as router:
+        offered = await load.play(router.port, router.api_port)
+        await router.counts()
+        turns = dict(word.split("=") for word in router.log.read_text().splitlines()[-1].split()[1:])
+    return {"seed": seed, **offered, "longest_turn_ms": int(turns["longest_us"]) / 1000,
+            "longest_turn_cpu_ms": int(turns["longest_cpu_us"]) / 1000, "turns_over_10_ms": int(turns["over_10_ms"])}
+
+
 def main() -> None:
     """Print what happened, and the figures as one JSON object."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
@@ -342,7 +353,11 @@
     parser.add_argument("--seconds", type=float, default=28.0, help="of calls")
     parser.add_argument("--rate", type=float, default=200.0, help="calls a second, both fronts together")
     parser.add_argument("--calls", type=int, default=10**9, help="at most")
+    parser.add_argument("--without", action="store_true", help="the same calls with no versions at all")
     given = parser.parse_args()
+    if given.without:
+        print(json.dumps(asyncio.run(without(given.seed, given.seconds, given.rate))))
+        return
     print(json.dumps(asyncio.run(measure(given.seed, given.seconds, given.rate, given.calls))))
 
 
