Review case 1: start with a small plan, and let the SIGHUP bring the aliases

Change: the first plan has six records, and the second one, which the SIGHUP brings, 6,000 aliases besides.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
     run_case,
 )
 
-ALIASES = 5_000  # ported numbers in the plan file; the pages allow 20,000 records other than prefixes
+ALIASES = 6_000  # ported numbers in the second plan; the pages allow 20,000 records other than prefixes
 CALLS_PER_S = 10.0  # of one router; the site's 5 to 7 routers carry 59 together
 LOAD_S = 24.0
 SIGHUP_AFTER_S = 8.0
@@ -31,16 +31,15 @@
 GRACE_S = 0.5  # an answer up to this much after its time is late, and not lost (the pages of the whole fleet)
 
 
-def write_plan(path: Path, version: int) -> None:
+def write_plan(path: Path, version: int, aliases: int) -> None:
     """Write the plan file, and put it in its place at once."""
     new = path.with_suffix(".new")
     with new.open("w") as out:
         out.write(f"[version]\nnumber = {version}\n")
         for exchange in (1, 2, 3):
             out.write(f'\n[[exchange]]\nnumber = {exchange}\nzone = "fes"\n')
-        for exchange in (1, 2, 3):
             out.write(f'\n[[prefix]]\ndigits = "{exchange}"\nexchange = {exchange}\n')
-        for number in range(ALIASES):
+        for number in range(aliases):
             out.write(f'\n[[alias]]\ndigits = "5{number:06d}"\nto = "{1 + number % 3}{number:06d}"\n')
     new.replace(path)
 
@@ -51,7 +50,7 @@
     exchanges = [await Exchange(f"s-{number}", number, record, hold_s=lambda _: random.expovariate(1 / 10)).start()
                  for number in (1, 2, 3)]
     bulletin.publish([endpoint(exchange) for exchange in exchanges], snapshot=True)
-    write_plan(folder / "plan.toml", 1)
+    write_plan(folder / "plan.toml", 1, 0)
     (folder / "versions.toml").write_text('[plan]\nfile = "plan.toml"\n')
     router = Router(folder, record, bulletin, exchanges, {"ASTERTRACK_VERSIONS": str(folder / "versions.toml")})
     await router.start()
@@ -68,8 +67,8 @@
     while time.monotonic() - start < LOAD_S:
         if not replaced and time.monotonic() - start >= SIGHUP_AFTER_S:
             replaced = True
-            write_plan(folder / "plan.toml", 2)
-            record.write("operator", "the plan file is replaced: version 2")
+            write_plan(folder / "plan.toml", 2, ALIASES)
+            record.write("operator", f"the plan file is replaced: version 2, with {ALIASES} aliases")
             if TROUBLE:
                 router.signal(signal.SIGHUP)
         for index, caller in enumerate(callers):
