End every process of a review case on all paths, and tell a fault of a script apart

Cause: a script that could not run, or was ended in its middle, left its router running, and a script that ended with an exception exited with 1, the code of a broken rule.

Change: the cases end their routers on every path, also on SIGTERM; run.sh exits with 1 for a broken rule only and with 2 for all else. Checks and bounds stay.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -20,7 +20,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -28,7 +28,9 @@
 SET_UP, PROGRESS, ANSWER, RELEASE, GROUP_STATE, TEST, TEST_RESULT = 1, 6, 9, 12, 43, 52, 53
 P_CLASS, P_WAIT, P_NUMBER, P_NOTE, P_REPORT, P_CAUSE, P_DESCRIPTION = 1, 3, 9, 15, 19, 29, 31
 NO_CALL = "0" * 16
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit codes
+# Exit codes of a case's program. run.sh turns BROKEN into 1, and all that is neither BROKEN nor HELD into 2, so that a
+# program that ends with an exception never counts as a broken rule.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 
 
 class Record:
@@ -183,7 +185,7 @@
 
     async def _answer(self, call: str, parameters: dict[int, bytes], writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.answer_s)
-        del self.pending[call]
+        self.pending.pop(call, None)
         self.standing[call] = writer
         writer.write(encode(ANSWER, call, {P_DESCRIPTION: b"c=IN IP4 127.0.0.1\r\nanswer to " + call.encode()
                                            + b" from " + self.name.encode()}))
@@ -485,6 +487,8 @@
 class Router:
     """The program, started with the `run` line of the deploy file in a folder of its own."""
 
+    created: ClassVar[list[Router]] = []  # all of them: run_case ends those that still run
+
     def __init__(self, folder: Path, record: Record, bulletin: Bulletin, exchanges: list[Exchange],
                  environment: dict[str, str] | None = None) -> None:
         self.folder, self.record, self.bulletin, self.exchanges = folder, record, bulletin, exchanges
@@ -492,6 +496,7 @@
         self.port = free_port()
         self.process: asyncio.subprocess.Process | None = None
         self.log = (folder / "log").open("ab")
+        Router.created.append(self)
 
     def write_config(self) -> None:
         """Write the configuration file as the platform does, with all events so far."""
@@ -555,15 +560,22 @@
     record.write("case", f"TROUBLE={int(TROUBLE)}")
 
     async def limited() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             try:
                 return await asyncio.wait_for(case(record, Path(folder)), limit_s)
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
                 record.write("case", f"could not run: {error!r}")
                 log = Path(folder) / "log"
                 if log.exists():
                     record.write("case", "end of the router's log: " + log.read_text(errors="replace")[-1500:])
                 return COULD_NOT_RUN
+            finally:
+                for router in Router.created:
+                    await router.stop()
 
     verdict = asyncio.run(limited())
     record.write("case", {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(verdict, "the case could not run"))
