Load a plan file between calls on SIGHUP, and check aliases in linear time

Cause: the check of aliases compared each one with all others (1.72 s for 6,000), the plan was validated twice, and all of it ran in one turn of the reactor, on every SIGHUP, changed or not.

Change: the check goes by levels of chain length over a sorted list (plan/aliases.py). A plan file is read in a thread and parsed, built, validated and encoded in steps of one record, 1.5 ms of a turn (plan/files.py, parts/planfile.py, net/cooperative.py), and joins the queue of versions as it is. An unchanged file is not offered again. Same cause elsewhere: the driver of the control service's versions reads the clock after every step (a range took 1.03 ms, 16 a turn), and the other loops of validate() pause.

--- a/astertrack/cli/config.py
+++ b/astertrack/cli/config.py
@@ -24,6 +24,7 @@
 from astertrack.cli.run import load_config
 from astertrack.config import ConfigError, read_gateway
 from astertrack.parts import versions as versions_part
+from astertrack.parts.planfile import read_plan_file
 from astertrack.plan import Drop, Plan
 from astertrack.plan.files import VersionTable
 from astertrack.plan.model import KINDS
@@ -64,11 +65,11 @@
     if kind == "versions":
         settings = versions_part.read_settings(path)
         if settings.plan.file:
-            versions_part.read_plan_file(path.parent / settings.plan.file)
+            read_plan_file(path.parent / settings.plan.file)
         return {"service": settings.service.address, "plan": settings.plan.file, "store": settings.store.folder,
                 "probation_s": settings.probation.seconds}
     if kind == "plan":
-        id, plan, in_force_ms = versions_part.read_plan_file(path)
+        id, plan, in_force_ms = read_plan_file(path)
         return {"version": str(id), "records": plan.size, "state": f"{plan.state:064x}", "in_force_ms": in_force_ms}
     gateway = read_gateway(path, [])
     return {"front": gateway.front and f"{gateway.front[0]}:{gateway.front[1]}", "store": gateway.store,
@@ -126,7 +127,7 @@
     elif kind == "versions":
         values = msgspec.to_builtins(versions_part.read_settings(file))
     elif kind == "plan":
-        values = [msgspec.to_builtins(record) for record in versions_part.read_plan_file(file)[1].records()]
+        values = [msgspec.to_builtins(record) for record in read_plan_file(file)[1].records()]
     else:
         values = dataclasses.asdict(read_gateway(file, []))
     print_result(values, as_json, "\n".join(flatten(values)))
@@ -156,7 +157,7 @@
     if kinds[0] != kinds[1]:
         fail(f"{old} is a {kinds[0]} file and {new} a {kinds[1]} file")
     if kinds[0] == "plan":
-        plans: list[Plan] = [versions_part.read_plan_file(path)[1] for path in (old, new)]
+        plans: list[Plan] = [read_plan_file(path)[1] for path in (old, new)]
         lines = difference(*plans)
         values: Any = [msgspec.to_builtins(line) for line in lines]
         text = [f"- {line.of} {line.key_}" if isinstance(line, Drop)
--- a/astertrack/cli/plan.py
+++ b/astertrack/cli/plan.py
@@ -20,7 +20,7 @@
     print_result,
     report_errors,
 )
-from astertrack.parts.versions import read_plan_file
+from astertrack.parts.planfile import read_plan_file
 from astertrack.plan import RouteQuery
 from astertrack.plan.compiled import DIGITS
 from astertrack.plan.model import ANY, Range
--- a/astertrack/cli/versions.py
+++ b/astertrack/cli/versions.py
@@ -38,7 +38,7 @@
 
     def scan(self) -> list[str]:
         """Read new and changed files and publish their versions. Return the errors found, each of them only once."""
-        from astertrack.parts.versions import read_plan_file  # noqa: PLC0415
+        from astertrack.parts.planfile import read_plan_file  # noqa: PLC0415
 
         errors: list[str] = []
         plans = []
--- a/astertrack/net/control.py
+++ b/astertrack/net/control.py
@@ -49,7 +49,6 @@
 STATUS_TIMEOUT_US = 3_000_000  # for a status message and its response together
 # Checking takes no more than this of one reactor iteration: calls wait at most this long for it.
 CHECK_BUDGET_US = 1_500
-STEPS_PER_CLOCK_READ = 16  # of checking; a step takes about 5 us
 # Bytes read per reactor iteration. The events in them are parsed and hashed in the same iteration, in about 2 ms.
 READ_BUFFER_BYTES = 8 * 1024
 # Reading pauses when more bytes than the first limit wait to be checked, and resumes below the second.
@@ -328,21 +327,20 @@
         self._work_scheduled = False
         start_s = time.perf_counter()
         end_s, now = start_s + CHECK_BUDGET_US / 1e6, self.clock.now_us()
-        while self._run_steps(now) and time.perf_counter() < end_s:
+        while self._run_step(now) and time.perf_counter() < end_s:
             pass
         self.execute_actions()
         self.record_turn(start_s)
         self.schedule_work()
 
-    def _run_steps(self, now_us: int) -> bool:
-        """Do a few steps of checking, and return whether there may be more to do now."""
-        for _ in range(STEPS_PER_CLOCK_READ):
-            in_force, start_s = self.versions.in_force, time.perf_counter()
-            if not self.versions.run_step(now_us):
-                return False
-            if self.versions.in_force is not in_force:  # this step put a version in force
-                self.swap_durations_us.append(int((time.perf_counter() - start_s) * 1e6))
-                del self.swap_durations_us[:-1000]
+    def _run_step(self, now_us: int) -> bool:
+        """Do one step of checking, and return whether there may be more to do now."""
+        in_force, start_s = self.versions.in_force, time.perf_counter()
+        if not self.versions.run_step(now_us):
+            return False
+        if self.versions.in_force is not in_force:  # this step put a version in force
+            self.swap_durations_us.append(int((time.perf_counter() - start_s) * 1e6))
+            del self.swap_durations_us[:-1000]
         return True
 
     def execute_actions(self) -> None:
--- a/astertrack/parts/versions.py
+++ b/astertrack/parts/versions.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 import sys
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -24,10 +23,12 @@
 from astertrack.config import ConfigError, split_address
 from astertrack.core import Approval, FinalResult, Policy, Refusal, Request, RouteConstraint, Router
 from astertrack.net.control import TICK_INTERVAL_US, ControlClient
+from astertrack.net.cooperative import CooperativeRunner
 from astertrack.parts import read_toml
 from astertrack.parts.model import PartContext
-from astertrack.plan import Plan, PlanAdmission, PlanError, PlanEvaluator, PlanRefusal, RouteQuery, build, write_line
-from astertrack.plan.files import read_plan
+from astertrack.parts.planfile import LoadedPlan, load_plan_file
+from astertrack.plan import Plan, PlanAdmission, PlanEvaluator, PlanRefusal, RouteQuery
+from astertrack.stepwise import Steps, run_to_end
 from astertrack.store.versions import VersionFiles
 from astertrack.versions import (
     ActiveVersion,
@@ -38,9 +39,8 @@
     VersionId,
     VersionManager,
     VersionSettings,
-    make_document,
-    write_header,
 )
+from astertrack.versions.model import FullVersionEncoder
 from ospreylug import interface as io
 
 log = structlog.get_logger()
@@ -49,7 +49,6 @@
 # After this time the store's thread yields the interpreter lock (GIL) to the reactor's thread, which handles calls.
 # With Python's default, calls would wait 5 ms for it.
 SWITCH_INTERVAL_S = 0.0005
-LINES_PER_TURN = 200  # encoded per reactor turn when a plan is stored as a full version
 
 
 class _Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -96,31 +95,6 @@
     return settings
 
 
-def read_plan_file(path: Path) -> tuple[VersionId, Plan, int]:
-    """Read a plan file: its version, its plan, and its activation time in Unix milliseconds (0: immediately).
-
-    A file without a [version] table is version 1.1. Raises ConfigError.
-    """
-    try:
-        plan_file = read_plan(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    except PlanError as error:
-        raise ConfigError(f"{path}: {error}") from None
-    try:
-        plan = build(iter(plan_file.records))
-    except PlanError as error:
-        finding = error.finding
-        record = plan_file.records[finding.line - 1] if finding.line else None
-        location = f"{record.__struct_config__.tag} {record.key()!r}: " if record is not None else ""
-        raise ConfigError(f"{path}: {location}{finding.reason.value}: {finding.path or 'record'}: "
-                          f"{finding.expected}") from None
-    if plan_file.version is None:
-        return VersionId(1, 1), plan, 0
-    return (VersionId(plan_file.version.epoch, plan_file.version.number), plan,
-            plan_file.version.in_force_ms)
-
-
 @dataclass(frozen=True, slots=True)
 class _Token:
     """The policy's state of an admitted call, which keeps the version in force at its admission until it ends."""
@@ -203,7 +177,9 @@
         self.policy = PlanPolicy(self.versions, PlanEvaluator(zone, config.settings.home, self.random_source))
         self.router: Router | None = None
         self._write_queue: Deferred[Any] = succeed(None)
-        self._stopped = False
+        self.runner = CooperativeRunner(context.reactor)  # for work that grows with a plan
+        self._offered_fingerprint = ""  # of the plan file's contents that were offered last
+        self._is_reloading = self._must_reload_again = self._stopped = False
 
     def policies(self) -> Sequence[Policy]:
         """Return its admission policy for the gate."""
@@ -221,45 +197,69 @@
                 self.versions.restore(stored_version.id, stored_version.plan, router.now_us())
                 log.info("kept version in force", version=str(stored_version.id), records=stored_version.plan.size)
         if self.settings.plan.file:
-            self._offer(*read_plan_file(self._plan_path()))
+            self._offer(run_to_end(load_plan_file(self._plan_path(self.settings))))
         self.client.start()
         self._check_zones()
 
-    def _plan_path(self) -> Path:
-        return self.path.parent / self.settings.plan.file  # relative to the versions file
+    def _plan_path(self, settings: Settings) -> Path:
+        return self.path.parent / settings.plan.file  # relative to the versions file
 
-    def _offer(self, id: VersionId, plan: Plan, in_force_ms: int) -> None:
-        """Offer the plan file's version like those of the service, so that the same order and checks apply to it."""
+    def _offer(self, loaded: LoadedPlan) -> None:
+        """Offer the plan file's version like those of the service, so that the same order applies to it."""
         assert self.router is not None
-        now = self.router.now_us()
-        document = make_document(id, plan.records(), plan.state, in_force_ms=in_force_ms)
-        self.versions.receive_header(write_header(document.header), now)
-        self.versions.receive_lines(list(document.lines))
-        self.versions.receive_end(now)
-        while self.versions.run_step(now):
-            pass
+        self._offered_fingerprint = loaded.fingerprint
+        self.versions.receive_validated(loaded.header, loaded.plan, loaded.text, self.router.now_us())
         self.client.execute_actions()
+        self.client.schedule_work()
 
     def reload(self) -> None:
         """Read the settings again, and switch to the service and the plan file that they name now.
 
-        Changes of the other settings need a restart. Invalid files change nothing.
+        The plan file is loaded between calls. If SIGHUP arrives meanwhile, it is loaded again afterwards. Changes of
+        the other settings need a restart. Invalid files change nothing.
         """
+        if self._is_reloading:
+            self._must_reload_again = True
+            return
         try:
             settings = read_settings(self.path)
-            version = read_plan_file(self.path.parent / settings.plan.file) if settings.plan.file else None
         except ConfigError as error:
-            self.context.counts["reloads_failed"] += 1
-            log.warning("settings not taken over", error=str(error))
+            self._on_reload_failed(error)
+            return
+        if not settings.plan.file:
+            self._apply_settings(settings)
             return
+        self._is_reloading = True
+        loading = self.runner.run(load_plan_file(self._plan_path(settings)))
+        loading.addCallbacks(lambda loaded: self._on_plan_loaded(settings, loaded),
+                             lambda failure: self._on_reload_failed(failure.value))
+        loading.addBoth(lambda _: self._on_reload_ended())
+
+    def _apply_settings(self, settings: Settings) -> None:
         self.settings = settings
         self.client.switch_address(settings.service.address)
-        if version is not None:
-            self._offer(*version)
+
+    def _on_plan_loaded(self, settings: Settings, loaded: LoadedPlan) -> None:
+        self._apply_settings(settings)
+        if loaded.fingerprint == self._offered_fingerprint and self.versions.has_verdict(loaded.header.id):
+            log.info("plan file unchanged", version=str(loaded.header.id))
+        else:
+            self._offer(loaded)
+
+    def _on_reload_failed(self, error: Exception) -> None:
+        self.context.counts["reloads_failed"] += 1
+        log.warning("settings not taken over", error=str(error))
+
+    def _on_reload_ended(self) -> None:
+        self._is_reloading = False
+        if self._must_reload_again:
+            self._must_reload_again = False
+            self.reload()
 
     def stop(self) -> None:
         """Receive no further versions. Current calls keep the versions under which they were admitted."""
         self._stopped = True
+        self.runner.stop()
         self.client.stop()
 
     def update_counters(self) -> None:
@@ -267,6 +267,7 @@
         counts, client = self.context.counts, self.client
         counts.update({name: value - counts[name] for name, value in self.versions.counts.items()})
         counts["control_longest_turn_us"] = client.longest_turn_us
+        counts["versions_longest_turn_us"] = self.runner.longest_turn_us
         counts["control_reports_waiting"] = len(client.outbox)
         counts["control_reports_lost"] = client.outbox.dropped
         if client.swap_durations_us:
@@ -321,34 +322,22 @@
         log.warning("version not stored", step=step, error=str(failure.value))
 
     def _write_full_version(self, id: VersionId, plan: Plan) -> None:
-        """Store a plan that was built from many deltas as one full version.
-
-        It is encoded LINES_PER_TURN lines per reactor turn, so that calls are handled in between.
-        """
-        chunks: list[bytes] = []
-        totals = [0, 0]  # records, bytes
-
-        def encode_lines(records: Iterator[Any]) -> None:
-            lines = [write_line(record) for record, _ in zip(records, range(LINES_PER_TURN), strict=False)]
-            if lines:
-                chunks.append(b"\n".join((*lines, b"")))
-                totals[0] += len(lines)
-                totals[1] += len(chunks[-1])
-                self.context.reactor.callLater(0, encode_lines, records)
-            elif (files := self.files) is not None:
-                header = Header(id.epoch, id.number, totals[0], totals[1], compute_digest(chunks), f"{plan.state:064x}")
-                self._run_in_thread("keep", lambda: files.save(header, chunks))
+        """Store a plan that was built from many deltas as one full version, encoded between calls."""
+        def write(version: tuple[Header, tuple[bytes, ...]]) -> None:
+            if (files := self.files) is not None:
+                self._run_in_thread("keep", lambda: files.save(*version))
                 self._run_in_thread("point", lambda: files.set_current(id))
 
-        encode_lines(plan.records())
+        self.runner.run(encode_full_version(id, plan)).addCallback(write)
 
 
-def compute_digest(chunks: list[bytes]) -> str:
-    """Return the SHA-256 of a text in chunks, in hexadecimal."""
-    digest = hashlib.sha256()
-    for chunk in chunks:
-        digest.update(chunk)
-    return digest.hexdigest()
+def encode_full_version(id: VersionId, plan: Plan) -> Steps[tuple[Header, tuple[bytes, ...]]]:
+    """Encode a plan as a full version, in steps of one record: return its header and its text."""
+    encoder = FullVersionEncoder()
+    for record in plan.records():
+        encoder.add(record)
+        yield None
+    return encoder.finish(id, plan.state)
 
 
 def make(context: PartContext, path: Path) -> VersionsPart:
--- a/astertrack/plan/compiled.py
+++ b/astertrack/plan/compiled.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
+from astertrack.plan.aliases import MAX_ALIASES, AliasCheck
 from astertrack.plan.model import (
     ANY,
     CAUSES,
@@ -39,7 +40,7 @@
 
 MAX_RECORDS = 2_000_000  # per plan; memory limits an installation sooner
 MAX_OTHER_RECORDS = 20_000  # records other than prefixes, per plan
-MAX_ALIASES = 8  # followed for one number
+CHECKED_PER_STEP = 64  # references compared with the exchanges in one step of the validation
 MODULUS = 2**256
 DIGITS = "0123456789abcdef"
 
@@ -90,7 +91,6 @@
         choice = self.choice(exchange, service, zone)
         if choice is None:
             return Route(exchange)
-        never = frozenset(choice.never) - {exchange}
         never = frozenset(choice.never) - {exchange} if choice.direct else frozenset((*choice.never, exchange))
         if choice.direct and not choice.over:
             return Route(exchange, (), never)
@@ -326,16 +326,23 @@
     def validate(self) -> Iterator[None]:
         """Validate the plan as a whole. Yields between small steps, so that calls can be processed meanwhile."""
         known = self._records_by_kind["exchange"]
-        for exchange, (line, path) in self._referenced.items():
+        for index, (exchange, (line, path)) in enumerate(self._referenced.items()):
             if str(exchange) not in known:
                 raise PlanError(Finding(Reason.UNKNOWN_EXCHANGE, f"exchange {exchange} is not listed", line, path))
+            if index % CHECKED_PER_STEP == 0:
+                yield
         yield
-        if self._delta_keys is not None and any(str(number) not in known for number in self._removed_exchanges()):
+        if self._delta_keys is not None and (yield from self._has_removed_exchange(known)):
             yield from self._check_removed_exchanges(known)
-        yield from self._check_aliases()
+        yield from AliasCheck(self._records_by_kind["alias"], self._match_alias).run()
 
-    def _removed_exchanges(self) -> list[str]:
-        return [key for key in self._base.records_of("exchange") if key not in self._records_by_kind["exchange"]]
+    def _has_removed_exchange(self, known: dict[str, Any]) -> Generator[None, None, bool]:
+        for index, number in enumerate(self._base.records_of("exchange")):
+            if number not in known:
+                return True
+            if index % CHECKED_PER_STEP == 0:
+                yield
+        return False
 
     def _check_removed_exchanges(self, known: dict[str, Any]) -> Iterator[None]:
         """Check that no remaining record refers to an exchange that the delta has removed."""
@@ -345,7 +352,7 @@
             if exchange is not None and str(exchange) not in known:
                 raise PlanError(Finding(Reason.UNKNOWN_EXCHANGE,
                                         f"exchange {exchange} was removed, but prefix {digits!r} refers to it"))
-            if index % 64 == 63:
+            if index % CHECKED_PER_STEP == 0:
                 yield
         for kind in ("choice", "limit"):
             for record in self._records_by_kind[kind].values():
@@ -356,43 +363,11 @@
                         raise PlanError(Finding(
                             Reason.UNKNOWN_EXCHANGE,
                             f"exchange {exchange} was removed, but {kind} {record.key()!r} refers to it"))
-            yield
-
-    def _check_aliases(self) -> Iterator[None]:
-        """Check that aliases form no loop, and that no number passes more than MAX_ALIASES of them.
-
-        A number that matches alias A is looked up again with the prefix A.to. It then matches the longest prefix of
-        A.to, or a longer prefix that begins with A.to, depending on the rest of the number. All of these are assumed
-        to be possible: a plan with a loop is always refused, and so are some plans that only appear to have one.
-        """
-        trie, successors = self._prefixes.peek(), dict[str, list[str]]()
-        aliases: dict[str, Alias] = self._records_by_kind["alias"]
-        for digits, alias in aliases.items():
-            following = []
-            hit = trie.match(alias.to)
-            if hit is not None and isinstance(hit[1], Alias):
-                following.append(hit[1].digits)
-            following += [other for other in aliases if other.startswith(alias.to) and len(other) > len(alias.to)]
-            successors[digits] = following
-            yield
-        depths: dict[str, int] = {}
-
-        def chain_depth(digits: str, path: tuple[str, ...]) -> int:
-            if digits in path:
-                loop = " -> ".join((*path[path.index(digits):], digits))
-                raise PlanError(Finding(Reason.ALIAS_LOOP, f"no loop of aliases: {loop}"))
-            if digits not in depths:
-                if len(path) > MAX_ALIASES:
-                    raise PlanError(Finding(Reason.ALIAS_LOOP,
-                                            f"at most {MAX_ALIASES} aliases in a row: {' -> '.join(path)}"))
-                depths[digits] = 1 + max(
-                    (chain_depth(other, (*path, digits)) for other in successors[digits]), default=0)
-            return depths[digits]
-
-        for digits in aliases:
-            if chain_depth(digits, ()) > MAX_ALIASES:
-                raise PlanError(Finding(Reason.ALIAS_LOOP, f"at most {MAX_ALIASES} aliases in a row, from {digits!r}"))
-            yield
+                yield
+
+    def _match_alias(self, number: str) -> Alias | None:
+        hit = self._prefixes.peek().match(number)
+        return hit[1] if hit is not None and isinstance(hit[1], Alias) else None
 
     def finish(self) -> Plan:
         """Return the plan. May be called once, after validate() has been exhausted."""
--- a/astertrack/versions/machine.py
+++ b/astertrack/versions/machine.py
@@ -95,9 +95,12 @@
     @property
     def has_work(self) -> bool:
         """Return whether run_step() has something to do."""
-        return self._unclassified is not None or any(
-            receiver.phase is not Phase.OPEN or (receiver.started and receiver.unchecked_bytes > 0)
-            for receiver in self._queue)
+        if self._unclassified is not None:
+            return True
+        if not self._queue:
+            return False
+        head = self._queue[0]  # run_step() works on no other version
+        return head.phase is not Phase.OPEN or not head.started or head.unchecked_bytes > 0
 
     # ---- events of the control stream
 
@@ -111,18 +114,40 @@
             self.counts["versions_heads_unreadable"] += 1
             self._log("version with a head that cannot be read", finding=str(error.finding))
             return
+        receiver = VersionReceiver(header, self.settings.has_store)
+        if self._enqueue(receiver, now_us):
+            self._receiving = receiver
+            self._advance_queue(now_us)
+
+    def receive_validated(self, header: Header, plan: Plan, text: tuple[bytes, ...], now_us: int) -> None:
+        """Process a complete full version whose plan was validated elsewhere, such as that of a plan file.
+
+        It takes its turn behind the versions that were received before, and affects none that is still arriving.
+        """
+        self.counts["versions_offered"] += 1
+        receiver = VersionReceiver.of_validated(header, plan, text if self.settings.has_store else None)
+        if self._enqueue(receiver, now_us):
+            self._skip_superseded(now_us)
+            self._advance_queue(now_us)
+
+    def _enqueue(self, receiver: VersionReceiver, now_us: int) -> bool:
+        """Add a version to the queue; return False if it was refused instead: it is too large, or the queue is full."""
+        header = receiver.header
         if header.octets > self.settings.max_bytes:
             finding = Finding(Reason.TOO_LARGE, f"at most {self.settings.max_bytes} bytes", 0, "octets")
             self._refuse(header, finding, now_us)
-            return
+            return False
         if len(self._queue) >= MAX_QUEUED_VERSIONS:
             self._skip_superseded(now_us)
         if len(self._queue) >= MAX_QUEUED_VERSIONS:
             self._refuse(header, Finding(Reason.TOO_MANY, f"at most {MAX_QUEUED_VERSIONS} queued versions"), now_us)
-            return
-        self._receiving = VersionReceiver(header, self.settings.has_store)
-        self._queue.append(self._receiving)
-        self._advance_queue(now_us)
+            return False
+        self._queue.append(receiver)
+        return True
+
+    def has_verdict(self, id: VersionId) -> bool:
+        """Return whether a version has a final verdict, which is only repeated if the version is received again."""
+        return id in self._known_versions
 
     def receive_lines(self, lines: list[bytes]) -> None:
         """Process lines of the current version. Without one they are counted and ignored."""
@@ -160,7 +185,7 @@
         if not self._queue:
             return False
         head = self._queue[0]
-        if head.phase in (Phase.OPEN, Phase.COMPLETE) and not head.run_step():
+        if head.started and head.phase in (Phase.OPEN, Phase.COMPLETE) and not head.run_step():
             return False
         self._advance_queue(now_us)
         return True
--- a/astertrack/versions/model.py
+++ b/astertrack/versions/model.py
@@ -12,7 +12,7 @@
 
 from astertrack.checking import split_validation_error
 from astertrack.plan import Finding, Plan, PlanError, Reason, write_line
-from astertrack.plan.model import PlanLine
+from astertrack.plan.model import PlanLine, Record
 
 # A version with 100,000 prefixes has 5 MiB. Six times that bounds what a faulty service can send; the settings may
 # give another limit.
@@ -20,6 +20,7 @@
 # The longest common record, a choice with 64 exchanges, has less than 1,000 bytes. The number of tandems in the groups
 # of a choice has no other limit.
 MAX_LINE_BYTES = 4 * 1024
+PIECE_LINES = 200  # in a piece of a text that is written to the store
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -105,6 +106,41 @@
                            "full" if base is None else "delta", base, in_force_ms), encoded)
 
 
+class FullVersionEncoder:
+    """Encodes the records of a plan as the text of a full version, one record at a time.
+
+    The text is in pieces of PIECE_LINES lines: a thread that handled 100,000 lines would hold the interpreter lock and
+    delay calls.
+    """
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []  # of the piece that is not complete
+        self._pieces: list[bytes] = []
+        self._digest, self._record_count, self._byte_count = hashlib.sha256(), 0, 0
+
+    def add(self, record: Record) -> None:
+        """Encode the next record."""
+        self._lines.append(write_line(record))
+        if len(self._lines) == PIECE_LINES:
+            self._complete_piece()
+
+    def _complete_piece(self) -> None:
+        piece = b"\n".join((*self._lines, b""))
+        self._pieces.append(piece)
+        self._digest.update(piece)
+        self._record_count += len(self._lines)
+        self._byte_count += len(piece)
+        self._lines = []
+
+    def finish(self, id: VersionId, state: int, in_force_ms: int = 0) -> tuple[Header, tuple[bytes, ...]]:
+        """Return the header and the text of the version; `state` is the digest of the plan."""
+        if self._lines:
+            self._complete_piece()
+        header = Header(id.epoch, id.number, self._record_count, self._byte_count, self._digest.hexdigest(),
+                        f"{state:064x}", in_force_ms=in_force_ms)
+        return header, tuple(self._pieces)
+
+
 class VersionState(Enum):
     """The states of a version, as reported to the control service."""
 
--- a/astertrack/versions/receiving.py
+++ b/astertrack/versions/receiving.py
@@ -42,14 +42,26 @@
 
         self.unchecked_bytes = 0  # bytes of lines that have not been validated yet
 
+    @classmethod
+    def of_validated(cls, header: Header, plan: Plan, text: tuple[bytes, ...] | None) -> VersionReceiver:
+        """Return a complete full version whose plan was built and validated elsewhere, such as from a plan file."""
+        receiver = cls(header, text is not None)
+        receiver.phase, receiver.plan = Phase.COMPLETE, plan
+        if text is not None:
+            receiver._text = list(text)
+        return receiver
+
     @property
     def started(self) -> bool:
         """Return whether validation has begun."""
         return self._builder is not None
 
     def start(self, base: Plan | None) -> None:
-        """Begin validation, on an empty plan or on the base of a delta."""
-        self._builder = PlanBuilder(base)
+        """Begin validation, on an empty plan or on the base of a delta. A plan validated elsewhere needs none."""
+        if self.plan is not None:
+            self.phase = Phase.CHECKED
+        else:
+            self._builder = PlanBuilder(base)
 
     def refuse(self, finding: Finding) -> None:
         """Refuse the version and release all that has been received of it."""
