Release an id at every peer before a set-up that may be repeated after a restart

The client could neither resume nor release the first call.

Cause: nothing of a call outlives the process, and the API front took every unknown id for a new call. Only releases over SIP had a rule for unknown ids, and that for 60 s.

A set-up that may be a repetition is released at every peer and sent after the release time, like any attempt after one that may have been executed. resume gets unconfirmed, and the client then the release; release is passed on; releases of unknown calls are passed on at any time. setup has new_id for clients, such as routers, that send an id for the first time: those set-ups are not held. On the way: a destination that answers a set-up with released ends the attempt at once, not at the deadline; the end of an API connection no longer looks through all calls.

--- a/astertrack/core/model.py
+++ b/astertrack/core/model.py
@@ -30,6 +30,8 @@
     via: int = -1  # recommended tandem, or the exchange from which a call in transit comes; -1: none
     repeated: bool = False  # the caller has offered the call before
     cut_before: bool = False  # the caller returns after an established call was cut
+    # The call may be established at a peer since before a restart of this router: it is released at all of them first.
+    release_first: bool = False
 
 
 @dataclass(slots=True)
@@ -99,6 +101,9 @@
     def release(self, peer: str, call_id: str, cause: int) -> None:
         """Release an established call."""
 
+    def is_release_pending(self, call_id: str) -> bool:
+        """Return whether a release of this call waits for a connection that is being established."""
+
     def probe(self, peer: str) -> None:
         """Send a probe to a peer."""
 
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 
 from astertrack.core.gate import Admission, Gate, Refusal
+from astertrack.core.history import CallHistory
 from astertrack.core.model import (
     NORMAL_CLEARING,
     TEMPORARY_FAILURE,
@@ -33,9 +34,13 @@
 # before the set-up is sent, 7 to 60 ms remained for an answer, which takes about 40 ms. With the short margin a busy
 # router answers a few calls too late, which costs no more than the margin gains.
 ANSWER_MARGIN_US = 10_000
-# Time after a start in which releases of unknown calls are passed on: an orphan is a call that the previous process of
-# this router set up and that is still established at a peer.
-ORPHAN_WINDOW_US = 60_000_000
+# After a start, a set-up that its caller may have sent to the previous process is taken for one whose call may still be
+# established at a peer: for this many times the longest mean holding time of a class, but no less than the minimum.
+ORPHAN_HOLDING_TIMES = 20
+MIN_ORPHAN_WINDOW_US = 60_000_000
+# A release before a set-up that waits for a connection delays the set-up by no more than this. Connections to peers may
+# take a second to be established.
+MAX_RELEASE_HOLD_US = 1_500_000
 RETRY_WAIT_US = 1_000_000  # wait before a retry, given with refusals that neither the gate nor the module decided
 # Outcomes after which the peer may have executed the set-up: a new attempt has to wait for the release.
 POSSIBLY_EXECUTED = (io.Outcome.TIMEOUT, io.Outcome.CUT, io.Outcome.CALLED_OFF)
@@ -89,8 +94,9 @@
         self.round_trip_us: dict[str, int] = {}  # estimate by peer: the shortest time from a set-up to its rejection
         self.counts: Counter[str] = counts if counts is not None else Counter()
         self.gate = gate if gate is not None else Gate((), log, self.counts)
-        self._seen_calls: set[str] | None = set()  # ids of this process's calls; None after the orphan window
-        clock.call_at(clock.now_us() + ORPHAN_WINDOW_US, self._close_orphan_window)
+        self._history = CallHistory()
+        longest_hold_us = max(service.hold_us for service in settings.classes)
+        self._orphan_window_end_us = clock.now_us() + max(MIN_ORPHAN_WINDOW_US, ORPHAN_HOLDING_TIMES * longest_hold_us)
         self._events: deque[io.Event] = deque()
         self._is_dispatching = False
         self._now_us = 0
@@ -102,9 +108,10 @@
         if request.call_id in self.calls:
             self.counts["offers_repeated"] += 1
             return False
-        if self._seen_calls is not None:
-            self._seen_calls.add(request.call_id)
+        self._history.add(request.call_id)
         now = self.now_us()
+        if request.release_first:  # also if the call is refused below: its caller must not be told so while it stands
+            self._release_at_all_peers(request.call_id, NORMAL_CLEARING)
         call = self.calls[request.call_id] = Call(request, caller, now, request.deadline_us - ANSWER_MARGIN_US)
         self.counts["calls_in_transit" if request.transit else "calls_fresh"] += 1
         if call.answer_by_us <= now:
@@ -119,11 +126,32 @@
             return True
         call.admission, call.label = decision, decision.label
         call.guard_timer = self.clock.call_at(call.answer_by_us, lambda: self._refuse_overdue(call))
+        if request.release_first:
+            self.counts["offers_held_for_release"] += 1
+            self.clock.call_at(now + self.settings.release_us, lambda: self._end_hold(call))
+        else:
+            self._offer_to_module(call, decision)
+        return True
+
+    def _offer_to_module(self, call: Call, admission: Admission) -> None:
+        request = call.request
         self._dispatch(io.CallOffered(
             request.call_id, request.service, request.dest, request.number, request.deadline_us, request.width,
             request.tenant, request.transit, request.via, request.repeated, request.cut_before,
-            decision.constraint.tiers, decision.constraint.never))
-        return True
+            admission.constraint.tiers, admission.constraint.never))
+
+    def _end_hold(self, call: Call) -> None:
+        """Route a call that was held until the release of an earlier attempt has taken effect.
+
+        A release that still waits for a connection prolongs the hold, up to MAX_RELEASE_HOLD_US.
+        """
+        if self.calls.get(call.request.call_id) is not call or call.admission is None:
+            return  # cancelled, or refused at its deadline
+        now = self.now_us()
+        if self.peers.is_release_pending(call.request.call_id) and now - call.accepted_us < MAX_RELEASE_HOLD_US:
+            self.clock.call_at(now + self.settings.release_us, lambda: self._end_hold(call))
+        else:
+            self._offer_to_module(call, call.admission)
 
     def cancel(self, call_id: str) -> bool:
         """Cancel an unanswered call for its caller; return False if there is none with this id."""
@@ -139,17 +167,30 @@
             self._cancel_attempt(call, io.Outcome.CALLED_OFF, settled=True)
         return True
 
+    def is_unknown(self, call_id: str) -> bool:
+        """Return whether this process has not handled the call; its previous process may have set it up."""
+        return call_id not in self.calls and call_id not in self._history
+
+    def may_be_orphan(self, call_id: str) -> bool:
+        """Return whether the call may be an orphan: set up by the previous process, and still established at a peer."""
+        return self.is_unknown(call_id) and self.now_us() < self._orphan_window_end_us
+
+    def _release_at_all_peers(self, call_id: str, cause: int) -> None:
+        """Release a call that only the previous process knew, and that may be established at any peer."""
+        self.counts["releases_of_before"] += 1
+        for peer in self.roster:
+            self.peers.release(peer, call_id, cause)
+
     def release_call(self, call_id: str, cause: int) -> bool:
-        """Release an established call for its caller; return False if there is none with this id."""
+        """Release a call for its caller: an established one, or one that this process does not know.
+
+        Returns False if there is nothing to release: the call has ended, or has not been answered.
+        """
         call = self.calls.get(call_id)
-        if call is None and self._seen_calls is not None and call_id not in self._seen_calls:
-            # The call was established before a restart, at a peer that only the previous process knew. Without a
-            # release to every peer it would stay established there.
-            self._seen_calls.add(call_id)
-            self.counts["releases_of_before"] += 1
-            for peer in self.roster:
-                self.peers.release(peer, call_id, cause)
-            return False
+        if self.is_unknown(call_id):
+            self._history.add(call_id)
+            self._release_at_all_peers(call_id, cause)
+            return True
         if call is None or not call.is_established or call.attempt is None:
             return False
         self.counts["releases_by_caller"] += 1
@@ -199,17 +240,13 @@
             self._end_attempt(call, end, settled=False)
 
     def _pass_on_orphan_release(self, call_id: str, outcome: io.Outcome) -> None:
-        """Pass the release of a call of the process before a restart on to its caller, once."""
+        """Pass the release of a call that the previous process set up on to its caller, once."""
         ended_normally = outcome is io.Outcome.OK
-        if self._seen_calls is not None and call_id not in self._seen_calls and (
-                ended_normally or outcome is io.Outcome.CUT):
-            self._seen_calls.add(call_id)
+        if self.is_unknown(call_id) and (ended_normally or outcome is io.Outcome.CUT):
+            self._history.add(call_id)
             self.counts["releases_passed_on"] += 1
             self.on_orphan_released(call_id, NORMAL_CLEARING if ended_normally else TEMPORARY_FAILURE)
 
-    def _close_orphan_window(self) -> None:
-        self._seen_calls = None
-
     def on_peer_lost(self, peer: str) -> list[str]:
         """Cut the established calls of a peer whose process has died: nobody else releases them. Return their ids."""
         lost = [call for call in self.calls_by_peer.get(peer, {}).values() if call.is_established]
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -108,11 +108,14 @@
             self.connection.send_message(message)
 
     def send_set_up(self, request: Request, deadline_us: int) -> None:
-        """Send a set-up. The message gives the deadline as a Unix time in milliseconds."""
+        """Send a set-up. The message gives the deadline as a Unix time in milliseconds.
+
+        The id is new to the destination, or was released there: a set-up is not sent to the same destination again.
+        """
         self._send_message(api.SetUp(
             request.call_id, request.service_name, request.number, request.dest, deadline_us // 1000,
             request.description.decode("utf-8", "replace"),
-            request.width, request.dest != self.exchange_number(), again=request.cut_before))
+            request.width, request.dest != self.exchange_number(), again=request.cut_before, new_id=True))
 
     def exchange_number(self) -> int:
         """Return the number of the destination's exchange, or -1. A call for another exchange is in transit there."""
@@ -155,7 +158,12 @@
             case api.Cancelled(call_id):
                 self._end_attempt(call_id, io.Outcome.CUT)
             case api.Released(call_id, cause):
-                self._end_attempt(call_id, io.Outcome.OK if cause == NORMAL_CLEARING else io.Outcome.CUT)
+                if call_id in self.pending_set_ups:  # the id of a call that ended there before this set-up
+                    self._end_attempt(call_id, io.Outcome.NUMBER_FAULT)
+                else:
+                    self._end_attempt(call_id, io.Outcome.OK if cause == NORMAL_CLEARING else io.Outcome.CUT)
+            case api.Unconfirmed():
+                pass  # the destination has restarted; if the call still stands, its release follows
             case api.Error(code, reason, call_id):
                 log.warning("error message from a destination", peer=self.name, code=code, reason=reason, call=call_id)
                 if call_id is not None:  # the destination does not know the call, or will never set it up
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -287,3 +287,7 @@
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
             self.queued_releases.append((call_id, cause, answered, self.clock.now_us()))
             self.dial()
+
+    def is_release_pending(self, call_id: str) -> bool:
+        """Return whether a release of this call waits for the connection that is being established."""
+        return self._connector is not None and any(queued[0] == call_id for queued in self.queued_releases)
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -252,6 +252,10 @@
         if (link := self.links.get(peer)) is not None:
             link.release(call_id, cause)
 
+    def is_release_pending(self, call_id: str) -> bool:
+        """Return whether a release of this call waits for a connection that is being established."""
+        return any(link.is_release_pending(call_id) for link in self.links.values())
+
     def probe(self, peer: str) -> None:
         """Send a probe to a peer."""
         if (link := self.links.get(peer)) is not None:
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -1,7 +1,7 @@
 """The WebSocket front: callers that speak the call-control API over WebSocket (docs/call-control.md).
 
 No connection owns a call. A set-up without an answer is cancelled when its connection closes. An established call goes
-on, and its release is sent to the client that resumes it.
+on, and its release is sent to the client that resumes it, also if the router has restarted since its set-up.
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
 # A connection whose client does not read for this long is closed: this bounds the data that waits for the client.
 WRITE_BLOCKED_TIMEOUT_US = 10_000_000
 MAX_CONNECTIONS = 256
+MAX_RESUMED_ORPHANS = 10_000
 # With these messages a call ends. An answer is final for the set-up only: the call is established after it.
 ENDING_MESSAGES = (api.Refused, api.Failed, api.Cancelled, api.Released)
 
@@ -42,9 +43,14 @@
 
     connection: ClientConnection | None
     last_message: api.Message
-    set_up: api.SetUp
+    set_up: api.SetUp | None  # None: unknown, since the call was set up before a restart, and has ended after it
     ended_us: int | None = None  # None: in progress or established
 
+    def has_other_fields(self, set_up: api.SetUp) -> bool:
+        """Return whether a set-up with the same id is for a different call: any field but two differs."""
+        return self.set_up is not None and (
+            replace(set_up, deadline=0, new_id=False) != replace(self.set_up, deadline=0, new_id=False))
+
 
 class ApiFront(Factory):
     """All connections from clients. Implements the core's Caller port for the calls that arrived on any of them."""
@@ -55,6 +61,8 @@
         self.max_connections = min(max_connections, MAX_CONNECTIONS)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[str, ApiCall] = {}
+        # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
+        self.resumed_orphans: dict[str, ClientConnection] = {}
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
         self.clock.call_at(self.clock.now_us() + CHECK_INTERVAL_US, self._check_connections)
 
@@ -70,7 +78,9 @@
         now = self.clock.now_us()
         expiry_us = now - ENDED_CALL_RETENTION_US
         for call_id in [n for n, c in self.calls.items() if c.ended_us is not None and c.ended_us <= expiry_us]:
-            del self.calls[call_id]
+            connection = self.calls.pop(call_id).connection
+            if connection is not None:
+                connection.call_ids.discard(call_id)
         self.clock.call_at(now + SWEEP_INTERVAL_US, self._sweep)
 
     def _check_connections(self) -> None:
@@ -85,30 +95,79 @@
     def on_request(self, connection: ClientConnection, request: api.Request) -> None:
         """Process a message from a client. Raises InvalidMessageError if the call's state rules it out."""
         call = self.calls.get(request.id)
-        if isinstance(request, api.SetUp) and call is not None and (
-                replace(request, deadline=0) != replace(call.set_up, deadline=0)):
+        match request:
+            case api.SetUp():
+                self._on_set_up(connection, request, call)
+            case api.Resume():
+                self._on_resume(connection, request.id, call)
+            case api.Release():
+                self._on_release(connection, request, call)
+            case api.Cancel():
+                self._on_cancel(connection, request.id, call)
+
+    def _on_set_up(self, connection: ClientConnection, set_up: api.SetUp, call: ApiCall | None) -> None:
+        # A router that has restarted releases an id at its destinations before it sends the set-up.
+        is_new = set_up.new_id and call is not None and call.set_up is None
+        if call is None or is_new:
+            self._set_up(connection, set_up)
+        elif call.has_other_fields(set_up):
             # A different call under an id in use must affect neither the existing call nor its client.
-            raise api.InvalidMessageError("id-in-use", "another call has this id", request.id)
-        if isinstance(request, api.SetUp) and call is None:
-            self._set_up(connection, request)
-        elif call is None:
-            raise api.InvalidMessageError("unknown-call", "no such call", request.id)
-        elif isinstance(request, (api.SetUp, api.Resume)):
-            # A repeated request, possibly on a new connection, refers to the same call: it causes no second set-up.
-            self.counts["ws_repeats"] += 1
-            call.connection = connection
+            raise api.InvalidMessageError("id-in-use", "another call has this id", set_up.id)
+        else:
+            self._send_state(connection, set_up.id, call)
+
+    def _on_resume(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
+        if call is not None:
+            self._send_state(connection, call_id, call)
+        elif self.router.may_be_orphan(call_id) and len(self.resumed_orphans) < MAX_RESUMED_ORPHANS:
+            self.counts["ws_orphans_resumed"] += 1
+            self.resumed_orphans[call_id] = connection
+            connection.call_ids.add(call_id)
+            connection.send_message(api.Unconfirmed(call_id))
+        else:
+            raise api.InvalidMessageError("unknown-call", "no such call", call_id)
+
+    def _send_state(self, connection: ClientConnection, call_id: str, call: ApiCall) -> None:
+        """Answer a repeated request, possibly on a new connection: it causes no second set-up."""
+        self.counts["ws_repeats"] += 1
+        if call.connection is not None:
+            call.connection.call_ids.discard(call_id)
+        call.connection = connection
+        connection.call_ids.add(call_id)
+        connection.send_message(call.last_message)
+
+    def _on_release(self, connection: ClientConnection, release: api.Release, call: ApiCall | None) -> None:
+        call_id = release.id
+        if call is None and not self.router.is_unknown(call_id):  # it ended long ago, or is another caller's
+            raise api.InvalidMessageError("unknown-call", "no such call", call_id)
+        if call is not None and call.ended_us is not None:
             connection.send_message(call.last_message)
-        elif isinstance(request, api.Cancel):
-            if self.router.cancel(request.id):
-                self._update_call(request.id, api.Cancelled(request.id))
-            else:  # the cancel crossed the answer or is a repeat: the client is sent the call's state again
-                connection.send_message(call.last_message)
-        elif self.router.release_call(request.id, request.cause):
-            self._update_call(request.id, api.Released(request.id, request.cause))
-        elif call.ended_us is not None:
+        elif not self.router.release_call(call_id, release.cause):
+            raise api.InvalidMessageError("not-standing", "the call is not answered: cancel it", call_id)
+        elif call is not None:
+            self._update_call(call_id, api.Released(call_id, release.cause))
+        else:  # set up before a restart
+            self._end_orphan(call_id, release.cause, connection)
+
+    def _on_cancel(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
+        if call is None:
+            raise api.InvalidMessageError("unknown-call", "no such call", call_id)
+        if self.router.cancel(call_id):
+            self._update_call(call_id, api.Cancelled(call_id))
+        else:  # the cancel crossed the answer or is a repeat: the client is sent the call's state again
             connection.send_message(call.last_message)
-        else:
-            raise api.InvalidMessageError("not-standing", "the call is not answered: cancel it", request.id)
+
+    def release_orphan(self, call_id: str, cause: int) -> bool:
+        """Release a call that the previous process set up; return whether a client has resumed it."""
+        connection = self.resumed_orphans.get(call_id)
+        self._end_orphan(call_id, cause, connection)
+        return connection is not None
+
+    def _end_orphan(self, call_id: str, cause: int, connection: ClientConnection | None) -> None:
+        """Remember the end of a call from before a restart like that of any call, and send it to its client."""
+        self.resumed_orphans.pop(call_id, None)
+        self.calls[call_id] = ApiCall(connection, api.Released(call_id, cause), None)
+        self._update_call(call_id, api.Released(call_id, cause))
 
     def _set_up(self, connection: ClientConnection, message: api.SetUp) -> None:
         service = self.classes.get(message.service)
@@ -123,21 +182,30 @@
         max_deadline_us = now + self.router.settings.classes[service].deadline_us
         self.counts["ws_set_ups"] += 1
         self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), message)
+        connection.call_ids.add(message.id)
+        self.resumed_orphans.pop(message.id, None)
         self.router.offer(Request(
             message.id, service, message.service, message.dest, message.number,
             min(message.deadline * 1000, max_deadline_us), message.description.encode(), message.width,
-            transit=message.transit, via=message.via, cut_before=message.again), self)
+            transit=message.transit, via=message.via, cut_before=message.again,
+            release_first=not message.new_id and self.router.may_be_orphan(message.id)), self)
         if isinstance(call.last_message, api.Progress):  # otherwise the final message was sent within offer
             connection.send_message(call.last_message)
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Cancel the unanswered set-ups of a connection that has closed; established calls go on."""
         self.connections.discard(connection)
-        for call_id in [n for n, c in self.calls.items() if c.connection is connection]:
-            self.calls[call_id].connection = None
+        for call_id in connection.call_ids:
+            if self.resumed_orphans.get(call_id) is connection:
+                del self.resumed_orphans[call_id]
+            call = self.calls.get(call_id)
+            if call is None or call.connection is not connection:
+                continue
+            call.connection = None
             if self.router.cancel(call_id):
                 self.counts["ws_given_up_by_close"] += 1
                 self._update_call(call_id, api.Cancelled(call_id))
+        connection.call_ids.clear()
 
     # ---- messages from the core
 
@@ -181,6 +249,7 @@
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
         self.partial_since_us: int | None = self.last_received_us  # while the handshake or a message is incomplete
+        self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
         self.ping_sent = self.is_receiving = False  # is_receiving: output is written once, after all input
 
     def connectionMade(self) -> None:
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -37,6 +37,7 @@
     transit: bool = False
     via: int = -1  # recommended tandem, or the exchange from which a call in transit comes; -1: none
     again: bool = False  # the caller returns after an established call was cut
+    new_id: bool = False  # the client sends this id for the first time
 
 
 @dataclass(slots=True)
@@ -108,6 +109,13 @@
     cause: int = 16
 
 
+@dataclass(slots=True)
+class Unconfirmed:
+    """Server: it does not know the call, which may be established since before a restart of the server."""
+
+    id: str
+
+
 @dataclass(slots=True)
 class State:
     """Server, destinations only: the trunk group towards it and the load of its processor."""
@@ -127,12 +135,12 @@
 
 
 Request = SetUp | Cancel | Release | Resume
-Message = Request | Progress | Answer | Refused | Failed | Cancelled | Released | State | Error
+Message = Request | Progress | Answer | Refused | Failed | Cancelled | Released | Unconfirmed | State | Error
 REQUEST_TYPES: dict[str, type[Any]] = {"setup": SetUp, "cancel": Cancel, "release": Release,
                                        "resume": Resume}
 REPLY_TYPES: dict[str, type[Any]] = {
     "progress": Progress, "answer": Answer, "refused": Refused, "failed": Failed, "cancelled": Cancelled,
-    "released": Released, "state": State, "error": Error}
+    "released": Released, "unconfirmed": Unconfirmed, "state": State, "error": Error}
 TYPE_NAMES = {message_type: name for name, message_type in (REQUEST_TYPES | REPLY_TYPES).items()}
 FIELD_NAMES = {"class": "service"}  # by JSON key: the key class is a keyword of Python
 KEY_NAMES = {"service": "class"}  # by field
@@ -140,7 +148,7 @@
 INTEGER_RANGES = {"dest": (-1, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
                   "cause": (1, 127)}
 NUMBER_RANGES = {"width": (1e-6, 64.0), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
-BOOLEAN_FIELDS = ("transit", "again")
+BOOLEAN_FIELDS = ("transit", "again", "new_id")
 REQUIRED_FIELDS: dict[type[Any], tuple[str, ...]] = {
     SetUp: ("id", "service", "number", "deadline"), Error: ("code", "reason"), State: ()}
 
--- a/benchmarks/narrowing.py
+++ b/benchmarks/narrowing.py
@@ -116,6 +116,10 @@
     def release(self, peer: str, call_id: str, cause: int) -> None:
         """Implements Peers."""
 
+    def is_release_pending(self, call_id: str) -> bool:
+        """Implements Peers."""
+        return False
+
     def probe(self, peer: str) -> None:
         """Implements Peers."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -44,6 +44,7 @@
         self.caller_releases: Counter[str] = Counter()
         self.records: list[CallRecord] = []
         self.release_pending_since_us: dict[str, int] = {}  # by call id: end of an attempt to be released first
+        self.releases_waiting_for_connection: set[str] = set()  # set by tests
         self.violations: list[str] = []
         router_settings = settings(callers_wait=True, max_caller_wait_us=2 * SECOND, release_us=300_000)
         counts: Counter[str] = Counter()
@@ -95,6 +96,9 @@
         if self.peer_by_call.get(call_id) == peer:
             del self.peer_by_call[call_id]
 
+    def is_release_pending(self, call_id: str) -> bool:
+        return call_id in self.releases_waiting_for_connection
+
     def probe(self, peer: str) -> None:
         pass
 
