Keep a slow request to the bulletin, and make a further one beside it

Cause: a connection was dropped after 2.2 s without a byte, also while it waited for its response; the next one had the same 2.2 s. A longer time-out would move the bound, and keep dead connections longer.

Change: hedged requests (net/streams.py). An attempt without a response is kept for up to 60 s, and a further one is made beside it at the old interval; the first response wins. Two attempts at most, and no more dials than before.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -105,8 +105,7 @@
                                       config.gateway.path, max(8, int(config.sockets * API_DESCRIPTOR_RATIO)))
             self.listeners.append(self.reactor.listenTCP(
                 port, self.api_front, backlog=LISTEN_BACKLOG, interface=host))
-        if config.bulletin:
-            self.bulletin.dial()
+        self.bulletin.start()
         log.info("serving", name=config.name, host=config.host, port=config.port, peers=len(initial_peers))
 
     def _apply_roster(self, kind: io.RosterKind, endpoints: list[Endpoint]) -> None:
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -17,6 +17,7 @@
 from ospreylug import interface as io
 
 log = structlog.get_logger()
+MAX_HANDSHAKE_TIMEOUT_US = 8_000_000
 REASON_CAUSES = {"no-circuit": io.Cause.NO_CIRCUIT, "turned-back": io.Cause.CRANKBACK,
                  "far-processor-full": io.Cause.CRANKBACK_FULL, "processor-full": io.Cause.PROCESSOR_FULL,
                  "lines-busy": io.Cause.LINES_BUSY}
@@ -28,6 +29,7 @@
     def __init__(self, link: ApiLink) -> None:
         self.link = link
         self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
+        self._started_us = 0  # of the handshake
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established; the socket is open after the handshake."""
@@ -35,11 +37,13 @@
         self.websocket.connect()
         self.write(self.websocket.take_output())
         clock = self.link.clock
-        clock.call_at(clock.now_us() + self.link.dial_timeout_us, self._on_handshake_timeout)
+        self._started_us = clock.now_us()
+        clock.call_at(self._started_us + self.link.handshake_timeout_us, self._on_handshake_timeout)
 
     def _on_handshake_timeout(self) -> None:
         """Abort a handshake that is not complete in time: the link does not dial again while it waits for one."""
         if self.websocket.state is ws.State.CONNECTING:
+            self.link.on_handshake_timeout()
             self.abort()
 
     def dataReceived(self, data: bytes) -> None:
@@ -50,6 +54,7 @@
         for event in self.websocket.receive(data):
             match event:
                 case ws.Opened():
+                    self.link.on_handshake(self.link.clock.now_us() - self._started_us)
                     self.link.on_connected(self)
                 case ws.Text(raw):
                     self._on_text(raw)
@@ -95,6 +100,19 @@
     # With this outcome a set-up is not tried again at the same destination: servers of the API remember the id of a
     # cancelled set-up, and never set it up a second time.
     connection_lost_outcome: io.Outcome = io.Outcome.NUMBER_FAULT
+    handshake_timeout_us: int = 0
+
+    def __post_init__(self) -> None:
+        """Begin with the timeout of a dial."""
+        self.handshake_timeout_us = self.dial_timeout_us
+
+    def on_handshake_timeout(self) -> None:
+        """Give the next handshake more time: a destination that needs longer would otherwise never be reached."""
+        self.handshake_timeout_us = min(MAX_HANDSHAKE_TIMEOUT_US, 2 * self.handshake_timeout_us)
+
+    def on_handshake(self, duration_us: int) -> None:
+        """Adapt the timeout to the duration of a completed handshake."""
+        self.handshake_timeout_us = min(MAX_HANDSHAKE_TIMEOUT_US, max(self.dial_timeout_us, 2 * duration_us))
 
     def build_connection(self) -> ApiConnection:
         """Build the protocol of a new connection."""
--- a/astertrack/net/bulletin.py
+++ b/astertrack/net/bulletin.py
@@ -8,14 +8,13 @@
 from typing import Any
 
 import structlog
-from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from astertrack.core.model import Timer
 from astertrack.net.base import StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.peers import Endpoint
+from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamTimeouts
 from astertrack.wire import sse
 from astertrack.wire.common import Malformed, MalformedError
 from ospreylug import interface as io
@@ -25,7 +24,8 @@
 # event within 4 s; with a timeout of 3.5 s, to which a dial is added, it took longer.
 UNRESPONSIVE_TIMEOUT_US = 2_200_000
 RECONNECT_INTERVAL_US = 200_000
-DIAL_TIMEOUT_US = 1_000_000
+TIMEOUTS = StreamTimeouts(dial_us=1_000_000, response_us=UNRESPONSIVE_TIMEOUT_US, silence_us=UNRESPONSIVE_TIMEOUT_US,
+                          patience_us=60_000_000)
 STATUS_READINESS = {"in_service": io.Readiness.READY, "terminating": io.Readiness.DRAINING,
                     "terminated": io.Readiness.GONE}
 
@@ -57,23 +57,24 @@
 class BulletinConnection(StreamProtocol):
     """One connection to the bulletin."""
 
-    def __init__(self, bulletin: Bulletin) -> None:
-        self.bulletin = bulletin
+    def __init__(self, bulletin: Bulletin, attempt: StreamAttempt) -> None:
+        self.bulletin, self.attempt = bulletin, attempt
         self.decoder = sse.EventDecoder()
-        self.is_closed = False  # dropped or ended: what still arrives on it, or its end, is ignored
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established: request what follows the last received event."""
         super().connectionMade()
-        self.write(sse.encode_request("/bulletins", self.bulletin.address, str(self.bulletin.last_event)))
-        self.bulletin.on_connected(self)
+        self.write(sse.encode_request("/bulletins", self.bulletin.streams.address, str(self.bulletin.last_event)))
+        self.attempt.on_connected()
 
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
         if self.is_closed:
             return
-        self.bulletin.restart_unresponsive_timer()
-        for event in self.decoder.receive(data):
+        events = self.decoder.receive(data)
+        if self.decoder.is_open:
+            self.attempt.on_response()
+        for event in events:
             if isinstance(event, Malformed):
                 self.bulletin.counts["bulletin_malformed"] += 1
                 log.warning("malformed data from the bulletin", reason=event.reason)
@@ -82,56 +83,30 @@
             if self.is_closed:
                 return
         if self.decoder.is_ended:
-            self.drop()
-
-    def drop(self) -> None:
-        """Abort the connection and treat it as ended from now on: the close of a dead one may be delayed."""
-        self.abort()
-        self._on_ended()
+            self.attempt.drop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
-        self._on_ended()
-
-    def _on_ended(self) -> None:
-        if not self.is_closed:
-            self.is_closed = True
-            self.bulletin.on_disconnected()
+        self.is_closed = True
+        self.attempt.on_closed()
 
 
-class Bulletin(ClientFactory):
+class Bulletin:
     """Keeps reading the bulletin, and passes on changes of the roster.
 
     on_change is called with each new event: whether its list of peers is complete, and the list.
     """
 
-    noisy = False
-
     def __init__(self, address: str, last_event: int, zones: list[str], kinds: list[str], clock: ReactorClock,
                  counts: Counter[str], on_change: Callable[[bool, list[Endpoint]], None]) -> None:
-        self.address, self.last_event, self.zones, self.kinds = address, last_event, zones, kinds
-        self.clock, self.counts, self.on_change = clock, counts, on_change
-        self.connector: Any = None
-        self.connection: BulletinConnection | None = None
-        self._unresponsive_timer: Timer | None = None
-        self._reconnect_timer: Timer | None = None
+        self.last_event, self.zones, self.kinds = last_event, zones, kinds
+        self.counts, self.on_change = counts, on_change
+        self.streams = StreamKeeper(address, TIMEOUTS, self, clock)
         self._retried_after = -1  # the event after which a malformed one was requested again
 
-    def buildProtocol(self, addr: IAddress | None) -> BulletinConnection:
-        """Called by Twisted when the connection is established."""
-        return BulletinConnection(self)
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Called by Twisted when the connection cannot be established."""
-        if connector is self.connector:  # not an attempt that was stopped for another address
-            self.on_disconnected()
-
-    def dial(self) -> None:
-        """Connect."""
-        self._reconnect_timer = None
-        host, _, port = self.address.rpartition(":")
-        self.counts["bulletin_dials"] += 1
-        self.connector = self.clock.reactor.connectTCP(host, int(port), self, timeout=DIAL_TIMEOUT_US / 1e6)
+    def start(self) -> None:
+        """Start to read, if there is an address."""
+        self.streams.start()
 
     def switch_address(self, address: str) -> None:
         """Continue at another address, host:port, after the last received event.
@@ -139,40 +114,39 @@
         This keeps events coming when the configuration changes under load: the old address sends no more of them,
         although its connections stay open for a while. The known peers are kept.
         """
-        self.address = address
-        connection, connector, self.connector = self.connection, self.connector, None
-        if connection is not None:
-            connection.drop()
-        elif connector is not None and connector.state == "connecting":
-            connector.stopConnecting()
-        if self._reconnect_timer is not None:
-            self._reconnect_timer.cancel()
-        self.dial()
-
-    def on_connected(self, connection: BulletinConnection) -> None:
-        """Take over a connection that is established and has sent its request."""
-        self.connection = connection
-        self.restart_unresponsive_timer()
-
-    def restart_unresponsive_timer(self) -> None:
-        """Restart the timer that drops the connection when nothing is received."""
-        if self._unresponsive_timer is not None:
-            self._unresponsive_timer.cancel()
-        self._unresponsive_timer = self.clock.call_at(
-            self.clock.now_us() + UNRESPONSIVE_TIMEOUT_US, self._on_unresponsive)
-
-    def _on_unresponsive(self) -> None:
+        self.streams.switch_address(address)
+
+    # ---- the owner of the stream
+
+    def build_connection(self, attempt: StreamAttempt) -> BulletinConnection:
+        """Build the protocol of a connection."""
+        return BulletinConnection(self, attempt)
+
+    def on_dial(self) -> None:
+        """Count a dial."""
+        self.counts["bulletin_dials"] += 1
+
+    def on_slow(self) -> None:
+        """Log that the bulletin does not respond in time."""
+        self.counts["bulletin_slow"] += 1
+        log.warning("bulletin has not responded in time", address=self.streams.address)
+
+    def on_silent(self) -> bool:
+        """Log that the bulletin is unresponsive; the stream is to be dropped."""
         log.warning("bulletin is unresponsive")
-        if self.connection is not None:
-            self.connection.drop()
+        return True
+
+    def on_stream_open(self, connection: Any) -> None:
+        """Do nothing: events follow."""
+
+    def on_stream_lost(self) -> None:
+        """Do nothing: the stream is opened again after the last received event."""
+
+    def next_dial_delay_us(self) -> int:
+        """Return the wait before the next dial."""
+        return RECONNECT_INTERVAL_US
 
-    def on_disconnected(self) -> None:
-        """Schedule the next dial after a connection has ended or could not be established."""
-        self.connection = None
-        if self._unresponsive_timer is not None:
-            self._unresponsive_timer.cancel()
-        if self._reconnect_timer is None:
-            self._reconnect_timer = self.clock.call_at(self.clock.now_us() + RECONNECT_INTERVAL_US, self.dial)
+    # ---- events
 
     def on_event(self, event: sse.ServerSentEvent) -> None:
         """Pass on the change of the roster that an event describes, once per event."""
@@ -183,9 +157,9 @@
             log.warning("malformed bulletin event", error=str(error))
             # If it was corrupted on its way, it arrives intact when requested again. It is requested again only once,
             # because it may be malformed at its source.
-            if self._retried_after != self.last_event and self.connection is not None:
+            if self._retried_after != self.last_event and self.streams.stream is not None:
                 self._retried_after = self.last_event
-                self.connection.drop()
+                self.streams.stream.drop()
             return
         if number <= self.last_event:
             return
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -28,8 +28,11 @@
 # A probe is sent after this time without received bytes. A healthy peer usually reports its trunk groups more often.
 KEEPALIVE_IDLE_US = 250_000
 # The connection is dropped after this time without received bytes, that is, if the probe is not answered either: a new
-# connection may work.
+# connection may work. A peer whose answers take longer would lose every connection before its first answer: the timeout
+# doubles with each connection on which the peer only sent the state of its groups, up to the maximum.
 UNRESPONSIVE_TIMEOUT_US = 650_000
+MAX_UNRESPONSIVE_TIMEOUT_US = 5_200_000
+RESPONSE_TIME_RATIO = 2  # the timeout is no less than this multiple of the time of the last response to a probe
 # The established calls at a peer are released after this time without received bytes: the platform requires that a call
 # whose end was not noticed is released towards its caller within 8 s of its end.
 PEER_LOST_TIMEOUT_US = 6_750_000
@@ -80,6 +83,9 @@
     _connected_us: int = 0
     _last_received_us: int = 0
     _probe_sent: bool = False  # since the last bytes were received
+    _probe_sent_us: int | None = None  # time of the unanswered probe on the present connection
+    _has_responded: bool = False  # the peer sent more on the present connection than the state at its start
+    _unresponsive_timeout_us: int = UNRESPONSIVE_TIMEOUT_US
     _reconnect_timer: Timer | None = None
 
     # ---- implemented by subclasses
@@ -106,15 +112,24 @@
     # ---- the connection
 
     def record_activity(self) -> None:
-        """Record that bytes were received from the peer."""
-        self._last_received_us, self._probe_sent = self.clock.now_us(), False
+        """Record that bytes were received from the peer, and how long it took if it was probed."""
+        now = self.clock.now_us()
+        self._last_received_us, self._probe_sent = now, False
+        if now - self._connected_us > KEEPALIVE_IDLE_US:
+            self._has_responded = True
+        if self._probe_sent_us is not None:
+            response_time_us = now - self._probe_sent_us
+            self._probe_sent_us = None
+            self._unresponsive_timeout_us = min(
+                MAX_UNRESPONSIVE_TIMEOUT_US, max(UNRESPONSIVE_TIMEOUT_US, RESPONSE_TIME_RATIO * response_time_us))
 
     def is_healthy(self) -> bool:
         """Return whether the peer is connected and sent bytes recently.
 
         An unresponsive peer is probed, and a healthy one answers the probe.
         """
-        return self.connection is not None and self.clock.now_us() - self._last_received_us <= UNRESPONSIVE_TIMEOUT_US
+        return self.connection is not None and (
+            self.clock.now_us() - self._last_received_us <= self._unresponsive_timeout_us)
 
     def check_liveness(self) -> None:
         """Probe an unresponsive peer, drop its connection and finally release its calls.
@@ -124,12 +139,14 @@
         connection gets the full timeout before it is dropped in turn.
         """
         now = self.clock.now_us()
-        if self.connection is not None and now - max(self._last_received_us,
-                                                     self._connected_us) > UNRESPONSIVE_TIMEOUT_US:
+        silent_since_us = max(self._last_received_us, self._connected_us)
+        if self.connection is not None and now - silent_since_us > self._unresponsive_timeout_us:
             self.counts["peer_silent"] += 1
+            if self._last_received_us >= self._connected_us and not self._has_responded:  # alive, but perhaps slow
+                self._unresponsive_timeout_us = min(MAX_UNRESPONSIVE_TIMEOUT_US, 2 * self._unresponsive_timeout_us)
             self.abort_connection(self.connection)
         elif self.connection is not None and now - self._last_received_us > KEEPALIVE_IDLE_US and not self._probe_sent:
-            self._probe_sent = True
+            self._probe_sent, self._probe_sent_us = True, now
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
@@ -157,6 +174,7 @@
             return
         self.connection, self._connector, self._refused_dials = connection, None, 0
         self._connected_us = now = self.clock.now_us()
+        self._probe_sent_us, self._has_responded = None, False
         self.counts["peer_connections"] += 1
         queued_releases, self.queued_releases = self.queued_releases, []
         for call_id, cause, answered, since_us in queued_releases:
--- a/astertrack/wire/control.py
+++ b/astertrack/wire/control.py
@@ -56,6 +56,11 @@
         """Whether no more events can come: the response has ended or was malformed."""
         return self._decoder.is_ended
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the service has accepted the request, so that events follow."""
+        return self._decoder.is_open
+
     def receive(self, data: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete; events with unknown names are ignored."""
         events: list[Event] = []
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -50,13 +50,17 @@
         self._name = "message"
         self._buffer = bytearray()
         self._body = bytearray()
-        self._lines = bytearray()
         self._has_head = self._is_chunked = self.is_ended = False
         self._chunk_left = -1  # bytes of the chunk still to come, with its line end; -1: its size line comes next
         self._id = ""
         self._data: list[str] = []
         self._data_chars = 0
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the head of a response with status 200 was received, so that events follow."""
+        return self._has_head
+
     def receive(self, data: bytes) -> list[ServerSentEvent | Malformed]:
         """Add received bytes and return the events that they complete; after Malformed nothing more is returned."""
         events: list[ServerSentEvent | Malformed] = []
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -18,6 +18,7 @@
 from astertrack.net.links import (
     KEEPALIVE_IDLE_US,
     LIVENESS_CHECK_INTERVAL_US,
+    MAX_UNRESPONSIVE_TIMEOUT_US,
     PEER_LOST_TIMEOUT_US,
     RECONNECT_INTERVAL_US,
     UNRESPONSIVE_TIMEOUT_US,
@@ -328,3 +329,49 @@
 
 
 TestLinkStates = LinkStates.TestCase
+
+
+def send_group_state(peer: PeerHarness) -> None:
+    """Send the state that a peer sends at the start of each connection."""
+    peer.send(wire.MessageType.GROUP_STATE, "0" * 16, {wire.Parameter.REPORT: b"x0:9;x1:9"})
+
+
+def run_slow_peer(peer: PeerHarness, delay_us: int, total_us: int) -> int:
+    """Let a peer answer each probe after a delay, and connect again at once; return the number of answers."""
+    step_us, due, answers = 50_000, list[tuple[int, int, str]](), 0
+    for now in range(0, total_us, step_us):
+        if peer.transports[-1].aborted:
+            peer.pass_time(RECONNECT_INTERVAL_US)
+            peer.connect()
+            send_group_state(peer)
+        due += [(now + delay_us, len(peer.transports), call) for kind, call in peer.sent_messages()
+                if kind == wire.MessageType.TEST and call not in [c for _, _, c in due]]
+        for at, connection, call in due:
+            if at == now and connection == len(peer.transports):
+                peer.send(wire.MessageType.TEST_RESULT, call, {wire.Parameter.CAUSE: b"\1"})
+                answers += 1
+        peer.pass_time(step_us)
+    return answers
+
+
+@pytest.mark.parametrize("delay_us", [800_000, 2_000_000])
+def test_a_peer_that_answers_slowly_keeps_its_connection_in_the_end(delay_us: int) -> None:
+    # Guards against docs/incidents/3: every connection was dropped before the first answer on it.
+    peer = connected_peer()
+    send_group_state(peer)
+    run_slow_peer(peer, delay_us, 10_000_000)
+    connections = len(peer.transports)
+    assert run_slow_peer(peer, delay_us, 10_000_000) >= 2
+    assert len(peer.transports) == connections
+    peer.pass_time(MAX_UNRESPONSIVE_TIMEOUT_US + 2 * LIVENESS_CHECK_INTERVAL_US)
+    assert peer.transports[-1].aborted  # one that falls silent is still dropped
+
+
+def test_a_peer_that_is_fast_again_is_dropped_as_early_as_before() -> None:
+    peer = connected_peer()
+    send_group_state(peer)
+    run_slow_peer(peer, 800_000, 10_000_000)
+    run_slow_peer(peer, 0, 2_000_000)
+    assert not peer.transports[-1].aborted
+    peer.pass_time(UNRESPONSIVE_TIMEOUT_US + 2 * LIVENESS_CHECK_INTERVAL_US)
+    assert peer.transports[-1].aborted
