Drop a peer's connection only after a probe that was not answered

Found while looking for the cause of docs/incidents/1, a reactor that stands still, on related paths. Cause: Link.check_liveness compared the time of the last byte only. PeerTable skips the check that runs late, but 0.1 s later the next one found the same silence, before any probe was sent. Change: a connection is silent only once a probe on it has had 0.3 s; a new connection is probed anew. Without a pause the times are as before. The new test of tests/test_links.py fails on the code before (4 connections in place of 1).

--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -37,6 +37,7 @@
 # whose end was not noticed is released towards its caller within 8 s of its end.
 PEER_LOST_TIMEOUT_US = 6_750_000
 LIVENESS_CHECK_INTERVAL_US = 100_000
+MIN_PROBE_WAIT_US = UNRESPONSIVE_TIMEOUT_US - KEEPALIVE_IDLE_US - LIVENESS_CHECK_INTERVAL_US
 # The release of a set-up whose connection was lost is sent only within this time: on the platform a set-up may be sent
 # again after 300 ms, and a release names only the call, so a later one could release the new attempt.
 QUEUED_RELEASE_TIMEOUT_US = 250_000
@@ -82,7 +83,6 @@
     _refused_dials: int = 0
     _connected_us: int = 0
     _last_received_us: int = 0
-    _probe_sent: bool = False  # since the last bytes were received
     _probe_sent_us: int | None = None  # time of the unanswered probe on the present connection
     _has_responded: bool = False  # the peer sent more on the present connection than the state at its start
     _unresponsive_timeout_us: int = UNRESPONSIVE_TIMEOUT_US
@@ -114,7 +114,7 @@
     def record_activity(self) -> None:
         """Record that bytes were received from the peer, and how long it took if it was probed."""
         now = self.clock.now_us()
-        self._last_received_us, self._probe_sent = now, False
+        self._last_received_us = now
         if now - self._connected_us > KEEPALIVE_IDLE_US:
             self._has_responded = True
         if self._probe_sent_us is not None:
@@ -139,19 +139,28 @@
         connection gets the full timeout before it is dropped in turn.
         """
         now = self.clock.now_us()
-        silent_since_us = max(self._last_received_us, self._connected_us)
-        if self.connection is not None and now - silent_since_us > self._unresponsive_timeout_us:
+        if self.connection is not None and self._is_silent(now):
             self.counts["peer_silent"] += 1
             if self._last_received_us >= self._connected_us and not self._has_responded:  # alive, but perhaps slow
                 self._unresponsive_timeout_us = min(MAX_UNRESPONSIVE_TIMEOUT_US, 2 * self._unresponsive_timeout_us)
             self.abort_connection(self.connection)
-        elif self.connection is not None and now - self._last_received_us > KEEPALIVE_IDLE_US and not self._probe_sent:
-            self._probe_sent, self._probe_sent_us = True, now
+        elif (self.connection is not None and now - self._last_received_us > KEEPALIVE_IDLE_US
+                and self._probe_sent_us is None):
+            self._probe_sent_us = now
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
             self.queued_releases += [(call_id, TEMPORARY_FAILURE, True, now) for call_id in calls]
 
+    def _is_silent(self, now_us: int) -> bool:
+        """Return whether the peer has sent nothing for the timeout, and has had the time to answer a probe.
+
+        After a pause of this process, nothing has been received for long from peers that were not asked.
+        """
+        silent_since_us = max(self._last_received_us, self._connected_us)
+        return (now_us - silent_since_us > self._unresponsive_timeout_us and self._probe_sent_us is not None
+                and now_us - self._probe_sent_us >= MIN_PROBE_WAIT_US)
+
     def dial(self) -> None:
         """Connect, unless a connection is established or under way."""
         if self.connection is not None or self._connector is not None or not self.is_wanted():
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -58,6 +58,8 @@
         self.router.peers = self.table = PeerTable(self.make_link, 0, FakeClock(self.reactor))
         self.router.set_roster(io.RosterChange(io.RosterKind.REPLACE, (io.Entry("x1", 1, 0),)))
         self.transports: list[Any] = []
+        # By run_slow_peer: the probes of all connections, and when their answers are due, in microseconds.
+        self.due_answers: dict[tuple[int, str], int] = {}
         self.connection: Any = None
         self.table.update([Endpoint("127.0.0.1:9", io.Entry("x1", 1, 0))], complete=True)
         self.link: PeerLink = cast(PeerLink, self.table.links["x1"])
@@ -338,16 +340,18 @@
 
 def run_slow_peer(peer: PeerHarness, delay_us: int, total_us: int) -> int:
     """Let a peer answer each probe after a delay, and connect again at once; return the number of answers."""
-    step_us, due, answers = 50_000, list[tuple[int, int, str]](), 0
-    for now in range(0, total_us, step_us):
+    step_us, answers = 50_000, 0
+    for _ in range(0, total_us, step_us):
         if peer.transports[-1].aborted:
             peer.pass_time(RECONNECT_INTERVAL_US)
             peer.connect()
             send_group_state(peer)
-        due += [(now + delay_us, len(peer.transports), call) for kind, call in peer.sent_messages()
-                if kind == wire.MessageType.TEST and call not in [c for _, _, c in due]]
-        for at, connection, call in due:
-            if at == now and connection == len(peer.transports):
+        connection, now = len(peer.transports), round(peer.reactor.seconds() * 1e6)
+        for kind, call in peer.sent_messages():
+            if kind == wire.MessageType.TEST:
+                peer.due_answers.setdefault((connection, call), now + delay_us)
+        for (sent_on, call), at in list(peer.due_answers.items()):
+            if sent_on == connection and at <= now < at + step_us:
                 peer.send(wire.MessageType.TEST_RESULT, call, {wire.Parameter.CAUSE: b"\1"})
                 answers += 1
         peer.pass_time(step_us)
@@ -375,3 +379,16 @@
     assert not peer.transports[-1].aborted
     peer.pass_time(UNRESPONSIVE_TIMEOUT_US + 2 * LIVENESS_CHECK_INTERVAL_US)
     assert peer.transports[-1].aborted
+
+
+def test_a_pause_of_this_process_drops_no_connection_of_a_peer_that_answers() -> None:
+    # Guards against docs/incidents/1, related paths: after a pause every idle connection was dropped without a probe.
+    peer = connected_peer()
+    send_group_state(peer)
+    for _ in range(3):
+        run_slow_peer(peer, 0, 1_000_000)
+        peer.reactor.advance(0.8)  # all timers run late, and once
+        peer.router_harness.pass_time(800_000)
+        run_slow_peer(peer, 0, 1_000_000)
+    assert len(peer.transports) == 1
+    assert not peer.transports[0].aborted
