Keep the releases that wait for a connection by call, as a typed value

Cause: they were bare tuples in a list, and since a set-up after a restart is released at every peer, many may wait for a peer that is away, each looked through at the end of a hold. Change: QueuedRelease in a dictionary by call id. The time of an unanswered probe is also dropped with its connection: the bytes of the next WebSocket handshake would have counted as a late answer to it.

--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -61,6 +61,15 @@
             self.on_failure(is_failure_of_type(reason, ConnectionRefusedError))
 
 
+@dataclass(frozen=True, slots=True)
+class QueuedRelease:
+    """A release that waits for the connection."""
+
+    cause: int
+    is_answered: bool  # whether the call was answered; otherwise it cancels a set-up
+    since_us: int
+
+
 @dataclass(eq=False)
 class Link:
     """State of the link to one peer. Subclasses implement the protocol that the peer speaks."""
@@ -76,8 +85,7 @@
     # Set-ups that wait for the connection, by call id: the request and its deadline in microseconds.
     queued_set_ups: dict[str, tuple[Request, int]] = field(default_factory=dict)
     pending_set_ups: set[str] = field(default_factory=set)  # sent on the connection and neither answered nor ended
-    # Releases that wait for the connection: call id, cause, whether the call was answered, since when in microseconds.
-    queued_releases: list[tuple[str, int, bool, int]] = field(default_factory=list)
+    queued_releases: dict[str, QueuedRelease] = field(default_factory=dict)  # by call id
     connection_lost_outcome: io.Outcome = io.Outcome.CUT  # of set-ups whose connection is lost
     _connector: Any = None
     _refused_dials: int = 0
@@ -150,7 +158,7 @@
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
-            self.queued_releases += [(call_id, TEMPORARY_FAILURE, True, now) for call_id in calls]
+            self.queued_releases |= dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, now))
 
     def _is_silent(self, now_us: int) -> bool:
         """Return whether the peer has sent nothing for the timeout, and has had the time to answer a probe.
@@ -185,10 +193,10 @@
         self._connected_us = now = self.clock.now_us()
         self._probe_sent_us, self._has_responded = None, False
         self.counts["peer_connections"] += 1
-        queued_releases, self.queued_releases = self.queued_releases, []
-        for call_id, cause, answered, since_us in queued_releases:
-            if answered or now - since_us < QUEUED_RELEASE_TIMEOUT_US:
-                self.send_release(call_id, cause, answered)
+        queued_releases, self.queued_releases = self.queued_releases, {}
+        for call_id, queued in queued_releases.items():
+            if queued.is_answered or now - queued.since_us < QUEUED_RELEASE_TIMEOUT_US:
+                self.send_release(call_id, queued.cause, queued.is_answered)
         self.resume_calls()
         queued_set_ups, self.queued_set_ups = self.queued_set_ups, {}
         for request, deadline_us in queued_set_ups.values():
@@ -241,13 +249,13 @@
         answered without this router receiving the answer: the peer is sent a release, or it would hold circuits for
         nobody.
         """
-        self.connection = None
+        self.connection, self._probe_sent_us = None, None
         self.counts[counter] += 1
         now = self.clock.now_us()
         pending, self.pending_set_ups = self.pending_set_ups, set()
         if counter != "peer_closes":
             log.warning("connection to a peer ended", peer=self.name, why=counter, set_ups=len(pending))
-        self.queued_releases += [(call_id, NORMAL_CLEARING, False, now) for call_id in pending]
+        self.queued_releases |= dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, now))
         for call_id in pending:
             self.router.on_ended(self.name, call_id, AttemptEnd(self.connection_lost_outcome))
         if now - self._connected_us < MIN_CONNECTED_US:
@@ -312,9 +320,9 @@
             self.counts["peer_releases_sent"] += 1
             self.send_release(call_id, cause, answered)
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
-            self.queued_releases.append((call_id, cause, answered, self.clock.now_us()))
+            self.queued_releases[call_id] = QueuedRelease(cause, answered, self.clock.now_us())
             self.dial()
 
     def is_release_pending(self, call_id: str) -> bool:
         """Return whether a release of this call waits for the connection that is being established."""
-        return self._connector is not None and any(queued[0] == call_id for queued in self.queued_releases)
+        return self._connector is not None and call_id in self.queued_releases
