--- a/tests/test_plan_reload.py
+++ b/tests/test_plan_reload.py
@@ -24,6 +24,7 @@
 from astertrack.stepwise import run_to_end
 from astertrack.versions import VersionId, VersionManager, VersionSettings, make_document, write_header
 from astertrack.versions.model import FullVersionEncoder
+from laboratory.plan_files import make_plan_text
 from laboratory.stand_ins import BinaryNode, SipCaller, running_router, wait_until
 
 ALIASES = 10_000
@@ -32,15 +33,6 @@
 GRACE_S = 0.5
 
 
-def make_plan_text(version: int, aliases: int) -> str:
-    """Return the text of a plan file with exchanges 1 and 2 and a number of aliases."""
-    tables = [f"[version]\nnumber = {version}\n"]
-    for exchange in (1, 2):
-        tables.append(f"[[exchange]]\nnumber = {exchange}\n[[prefix]]\ndigits = '{exchange}'\nexchange = {exchange}\n")
-    tables += [f"[[alias]]\ndigits = '5{n:06d}'\nto = '{1 + n % 2}{n:06d}'\n" for n in range(aliases)]
-    return "".join(tables)
-
-
 def replace_file(path: Path, text: str) -> None:
     """Replace a file at once."""
     new = path.with_suffix(".new")
