--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -382,7 +382,7 @@
 
 
 def test_a_pause_of_this_process_drops_no_connection_of_a_peer_that_answers() -> None:
-    # Guards against docs/incidents/1, related paths: after a pause every idle connection was dropped without a probe.
+    # Guards against docs/incidents/4: after a pause every idle connection was dropped without a probe.
     peer = connected_peer()
     send_group_state(peer)
     for _ in range(3):
