review: call records are lost when the router stops while the store stalls

Cause: records wait in memory only, and a stop gives the store 2 s.

Change: case 10, a store that stalls for 9.5 s and a planned restart within that time.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." && exec .venv/bin/python review/10/case.py
