--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common-2"))
-import rig as r  # noqa: E402
+import rig as r
 
 STALL_S = 9.5  # the page names ten seconds
 CALLS_PER_S = 10
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common-2"))
-import rig as r  # noqa: E402
+import rig as r
 
 EXCHANGES = 6  # with the router's own, seven ledger nodes
 IDLE_CLOSES, IDLE_CLOSE_S = 8, 0.4  # each exchange closes its idle connection so often, and is dialled again
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common-2"))
-import rig as r  # noqa: E402
+import rig as r
 
 ROUNDS = 8  # in each, a call is placed while the connection to its exchange is new
 ROUND_S = 2.0  # so the pair has half a call a second; the brief's figures give each pair about 1.4
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common-2"))
-import rig as r  # noqa: E402
+import rig as r
 
 CALLS = 20  # that stand when the router is restarted
 CROWD_PER_S = 60  # connections that never finish a request; the operating days have thousands
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common-2"))
-import rig as r  # noqa: E402
+import rig as r
 
 CALLS = 10  # that stand when the router is killed
 RESTART_S = 1.0  # until the platform starts it again
@@ -64,7 +64,8 @@
             if callers.released_at.get(call, r.time.time()) > ended + r.LOST_RELEASE_S + r.SLACK_S]
     others = [s for call, s in callers.finals.items() if call not in standing]
     rig.record.say(f"calls that stood and ended at the exchange: {CALLS}; released towards their callers within "
-                   f"8.05 s {CALLS - len(lost)}; other calls answered {sum(s == [200] for s in others)} of {len(others)}")
+                   f"8.05 s {CALLS - len(lost)}; other calls answered {sum(s == [200] for s in others)} of "
+                   f"{len(others)}")
     return [f"call {call}: ended at its exchange, no release towards its caller within {r.LOST_RELEASE_S} s"
             for call in lost]
 
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -171,7 +171,7 @@
         assert self.process is not None
         try:
             await asyncio.wait_for(self.process.wait(), limit_s)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return False
         self.rig.record.write("platform", "ended", router=self.name, code=self.process.returncode)
         return True
@@ -545,7 +545,7 @@
             self._fillers.append(filler)
             try:
                 await asyncio.wait_for(asyncio.get_running_loop().sock_connect(filler, (HOST, self.port)), 0.1)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 return  # the queue is full
         raise CannotRun("connections still come up")
 
@@ -787,7 +787,7 @@
             asyncio.get_running_loop().add_signal_handler(number, running.cancel)
         try:
             breaches = await running
-        except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
+        except (TimeoutError, CannotRun, OSError, asyncio.CancelledError) as error:
             rig.record.say(f"could not run: {type(error).__name__}: {error}")
             return 2
         finally:
