End a connection whose message stays incomplete, whatever else arrives on it

Cause: PeerConnection began the 300 ms of an incomplete message anew with each piece of data, and the states of the trunk group come more often than that.

Change: the time counts from the first byte of the message, for all kinds of connections (net/partial.py). The same cause on related paths: fragments and frames of API destinations had no limit, pongs extended a client's fragmented message, bytes of a line that never ends kept the streams of the bulletin and of the control service, and bytes of a handshake kept the calls of a destination.

--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -11,6 +11,7 @@
 from astertrack.core import NORMAL_CLEARING, AttemptEnd, Request
 from astertrack.net.base import StreamProtocol
 from astertrack.net.links import Link
+from astertrack.net.partial import PartialMessageTimer
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
 from astertrack.wire.common import MAX_MESSAGE_BYTES, Malformed
@@ -30,6 +31,7 @@
         self.link = link
         self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
         self._started_us = 0  # of the handshake
+        self._partial_timer = PartialMessageTimer(self.websocket, link.clock, self._on_partial_timeout)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established; the socket is open after the handshake."""
@@ -50,12 +52,14 @@
         """Called by Twisted when bytes were received."""
         if self.is_closed:
             return
-        self.link.record_activity()
+        if self.websocket.state is not ws.State.CONNECTING:  # a handshake that never completes is no sign of life
+            self.link.record_activity()
         for event in self.websocket.receive(data):
             match event:
                 case ws.Opened():
                     self.link.on_handshake(self.link.clock.now_us() - self._started_us)
                     self.link.on_connected(self)
+                    self.link.record_activity()
                 case ws.Text(raw):
                     self._on_text(raw)
                 case ws.Closed():
@@ -69,6 +73,11 @@
             if self.is_closed:
                 return
         self.write(self.websocket.take_output())
+        if self.websocket.state is not ws.State.CONNECTING:  # the handshake has its own timeout
+            self._partial_timer.update()
+
+    def _on_partial_timeout(self) -> None:
+        self.link.on_incomplete_message(self)
 
     def _on_text(self, raw: str) -> None:
         try:
@@ -79,6 +88,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
+        self._partial_timer.cancel()
         self.link.on_disconnected(self, reason)
 
     def ping(self) -> None:
--- a/astertrack/net/bulletin.py
+++ b/astertrack/net/bulletin.py
@@ -14,7 +14,7 @@
 from astertrack.net.base import StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.peers import Endpoint
-from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamTimeouts
+from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamProgress, StreamTimeouts
 from astertrack.wire import sse
 from astertrack.wire.common import Malformed, MalformedError
 from ospreylug import interface as io
@@ -71,9 +71,11 @@
         """Called by Twisted when bytes were received."""
         if self.is_closed:
             return
+        lines_before = self.decoder.line_count
         events = self.decoder.receive(data)
         if self.decoder.is_open:
-            self.attempt.on_response()
+            self.attempt.on_response(StreamProgress(
+                self.decoder.line_count > lines_before, bool(events), self.decoder.has_partial_line))
         for event in events:
             if isinstance(event, Malformed):
                 self.bulletin.counts["bulletin_malformed"] += 1
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -19,6 +19,7 @@
 from astertrack.core import Request, Router
 from astertrack.core.model import Clock
 from astertrack.net.base import BackpressureProducer, StreamProtocol
+from astertrack.net.partial import PartialMessage
 from astertrack.wire import sip
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
 
@@ -142,7 +143,7 @@
         self.front, self.router, self.counts = front, front.router, front.counts
         self.sip_connection = sip.ServerConnection()
         self.idle_since_us = front.clock.now_us()  # since when no message was completed or sent
-        self.partial_since_us: int | None = None  # while a message is incomplete
+        self.partial_message = PartialMessage(self.sip_connection, self.idle_since_us)
         self.closing_since_us: int | None = None
         self.has_sent_message = self.has_answered_call = False  # the caller sent a message; one of its calls got a 200
 
@@ -207,7 +208,7 @@
             self.abort()
         elif not self.has_sent_message and now_us - self.idle_since_us > MESSAGE_TIMEOUT_US:
             self._refuse_and_close("sip_closed_silent")
-        elif self.partial_since_us is not None and now_us - self.partial_since_us > MESSAGE_TIMEOUT_US:
+        elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self._refuse_and_close("sip_closed_half_sent")
         elif (not self.sip_connection.pending_invites and now_us - self.idle_since_us > IDLE_TIMEOUT_US
                 and not self.has_unread_bytes()):
@@ -231,10 +232,7 @@
         events = self.sip_connection.receive(data)
         message_completed = self.sip_connection.message_count > messages_before
         now = self.front.clock.now_us()
-        if not self.sip_connection.has_partial_message:
-            self.partial_since_us = None
-        elif message_completed or self.partial_since_us is None:
-            self.partial_since_us = now
+        self.partial_message.update(now)
         if message_completed:
             self.has_sent_message = True
             self._mark_active(now)
--- a/astertrack/net/control.py
+++ b/astertrack/net/control.py
@@ -18,7 +18,7 @@
 from astertrack.net.base import StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.reports import ReportSender
-from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamTimeouts
+from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamProgress, StreamTimeouts
 from astertrack.versions import (
     Action,
     LogEvent,
@@ -75,9 +75,11 @@
         if self.is_closed:
             return
         start_s = time.perf_counter()
+        lines_before = self.decoder.line_count
         events = self.decoder.receive(data)
         if self.decoder.is_open:
-            self.attempt.on_response()
+            self.attempt.on_response(StreamProgress(
+                self.decoder.line_count > lines_before, bool(events), self.decoder.has_partial_line))
         for event in events:
             self.client.on_event(event)
             if self.is_closed:
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -228,6 +228,13 @@
         connection.abort()
         self.mark_ended(connection, "peer_drops")
 
+    def on_incomplete_message(self, connection: StreamProtocol) -> None:
+        """Abort a connection on which a message stays incomplete: what follows would be taken for the rest of it."""
+        if not connection.is_closed:
+            self.counts["peer_cut_short"] += 1
+            log.warning("truncated message from a peer", peer=self.name)
+            self.abort_connection(connection)
+
     def mark_ended(self, connection: StreamProtocol, counter: str = "peer_closes") -> None:
         """Treat a connection as ended from now on: its close may be delayed, and no set-up may be sent on it.
 
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -15,14 +15,13 @@
 from astertrack.core.model import Clock, Timer
 from astertrack.net.base import StreamProtocol
 from astertrack.net.links import LIVENESS_CHECK_INTERVAL_US, Link
+from astertrack.net.partial import PartialMessageTimer
 from astertrack.wire import peer as wire
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
 from ospreylug import interface as io
 from ospreylug.wirehost import read_load
 
 log = structlog.get_logger()
-# A message that is still incomplete after this time is taken for truncated; messages have at most 16 KiB.
-PARTIAL_MESSAGE_TIMEOUT_US = 300_000
 MAX_LIVENESS_CHECK_DELAY_US = 100_000  # a check of the links that runs more than this after its due time is skipped
 PROBE_TIMEOUT_US = 250_000
 # By Q.850 cause: 34 no circuit available, which the platform uses for whatever is full; 17 user busy and 47 resource
@@ -51,7 +50,7 @@
     def __init__(self, link: PeerLink) -> None:
         self.link = link
         self.decoder = wire.MessageDecoder()
-        self._partial_timer: Timer | None = None  # runs while a message is incomplete
+        self._partial_timer = PartialMessageTimer(self.decoder, link.clock, self._on_partial_timeout)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
@@ -60,8 +59,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
+        if self.is_closed:
+            return
         self.link.record_activity()
-        for message in self.decoder.receive(data) if not self.is_closed else ():
+        for message in self.decoder.receive(data):
             try:
                 if isinstance(message, Malformed):
                     raise MalformedError(message.reason)
@@ -81,25 +82,14 @@
                 self.link.on_event(event)
             if self.is_closed:
                 return
-        self._restart_partial_timer()
-
-    def _restart_partial_timer(self) -> None:
-        """Drop the connection if a message stays incomplete: what follows would be taken for the rest of it."""
-        if self._partial_timer is not None:
-            self._partial_timer.cancel()
-            self._partial_timer = None
-        if self.decoder.has_partial_message:
-            clock = self.link.clock
-            self._partial_timer = clock.call_at(clock.now_us() + PARTIAL_MESSAGE_TIMEOUT_US, self._on_partial_timeout)
+        self._partial_timer.update()
 
     def _on_partial_timeout(self) -> None:
-        if not self.is_closed:
-            self.link.counts["peer_cut_short"] += 1
-            log.warning("truncated message from a peer", peer=self.link.name)
-            self.link.abort_connection(self)
+        self.link.on_incomplete_message(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
+        self._partial_timer.cancel()
         self.link.on_disconnected(self, reason)
 
 
--- a/astertrack/net/streams.py
+++ b/astertrack/net/streams.py
@@ -29,7 +29,7 @@
 
     dial_us: int  # an attempt without a connection gets a further one beside it
     response_us: int  # so does an attempt with a connection and without a response
-    silence_us: int  # a stream without a received byte is dropped
+    silence_us: int  # a stream without a completed line is dropped
     patience_us: int  # the oldest attempt is dropped
 
 
@@ -58,6 +58,15 @@
         """Return the wait before the next dial, after an attempt has failed or the stream was lost."""
 
 
+@dataclass(frozen=True, slots=True)
+class StreamProgress:
+    """What the bytes that were received at once have completed."""
+
+    completed_line: bool
+    completed_event: bool
+    has_partial_line: bool  # they end within a line
+
+
 class AttemptPhase(Enum):
     """The phases of an attempt, in this order; it may end in any of them."""
 
@@ -76,6 +85,7 @@
         self._streams = streams
         self.phase = AttemptPhase.DIALING
         self.started_us = streams.clock.now_us()
+        self.has_partial_line = False  # the beginning of a line has been received, and its end has not
         self.is_slow = False  # had no response in time, and is kept for a late one
         self.connector: Any = None
         self.connection: StreamProtocol | None = None
@@ -97,12 +107,19 @@
             if not self.is_slow:
                 self.set_timer(self._streams.timeouts.response_us, lambda: self._streams.on_slow(self))
 
-    def on_response(self) -> None:
-        """Called when bytes were received, and the head of a valid response is among all received ones."""
-        if self.phase is AttemptPhase.WAITING:
+    def on_response(self, progress: StreamProgress) -> None:
+        """Called when bytes were received, and the head of a valid response is among all received ones.
+
+        Bytes of a line that does not end are no sign of life: they would keep a stream that delivers nothing.
+        """
+        is_first = self.phase is AttemptPhase.WAITING
+        if is_first:
             self.phase = AttemptPhase.OPEN
             self._streams.on_open(self)
-        if self.phase is AttemptPhase.OPEN:
+        self.has_partial_line = progress.has_partial_line
+        if progress.completed_event:
+            self._streams.reset_silence_timeout()
+        if self.phase is AttemptPhase.OPEN and (is_first or progress.completed_line):
             self.restart_silence_timer()
 
     def on_closed(self) -> None:
@@ -126,7 +143,7 @@
 
     def restart_silence_timer(self) -> None:
         """Restart the timer that drops the stream when nothing is received."""
-        self.set_timer(self._streams.timeouts.silence_us, lambda: self._streams.on_silent(self))
+        self.set_timer(self._streams.silence_timeout_us, lambda: self._streams.on_silent(self))
 
     def set_timer(self, delay_us: int, callback: Callable[[], None]) -> None:
         """Set the timer of the present phase; it replaces an earlier one."""
@@ -146,6 +163,7 @@
 
     def __init__(self, address: str, timeouts: StreamTimeouts, owner: StreamOwner, clock: ReactorClock) -> None:
         self.address, self.timeouts, self.owner, self.clock = address, timeouts, owner, clock
+        self.silence_timeout_us = timeouts.silence_us
         self.stream: StreamAttempt | None = None
         self.attempts: list[StreamAttempt] = []  # that are not open; the oldest first, two at most
         self._dial_timer: Timer | None = None
@@ -221,10 +239,19 @@
         self.owner.on_stream_open(attempt.connection)
 
     def on_silent(self, stream: StreamAttempt) -> None:
-        """Drop the stream, if its owner agrees."""
+        """Drop the stream, if its owner agrees.
+
+        The timeout doubles if a line was incomplete: one that takes longer would otherwise never be received.
+        """
         if self.owner.on_silent():
+            if stream.has_partial_line:
+                self.silence_timeout_us = min(self.timeouts.patience_us, 2 * self.silence_timeout_us)
             stream.drop()
 
+    def reset_silence_timeout(self) -> None:
+        """Return to the configured timeout, after an event was received."""
+        self.silence_timeout_us = self.timeouts.silence_us
+
     def on_ended(self, attempt: StreamAttempt) -> None:
         """Schedule the next dial after an attempt has failed, or the stream has ended."""
         if attempt is self.stream:
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -17,6 +17,7 @@
 from astertrack.core import Request, Router
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.clock import ReactorClock
+from astertrack.net.partial import PartialMessage
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
 from astertrack.wire.common import Malformed
@@ -248,7 +249,7 @@
         self.front, self.counts = front, front.counts
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
-        self.partial_since_us: int | None = self.last_received_us  # while the handshake or a message is incomplete
+        self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
         self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
         self.ping_sent = self.is_receiving = False  # is_receiving: output is written once, after all input
 
@@ -272,10 +273,7 @@
         self.last_received_us = now = self.front.clock.now_us()
         self.ping_sent, self.is_receiving = False, True
         events = self.websocket.receive(data)
-        if not self.websocket.has_partial_message:
-            self.partial_since_us = None
-        elif events or self.partial_since_us is None:
-            self.partial_since_us = now
+        self.partial_message.update(now)
         for event in events:
             match event:
                 case ws.Text(raw):
@@ -308,7 +306,7 @@
                          and now_us - self.write_blocked_since_us > WRITE_BLOCKED_TIMEOUT_US)
         if write_blocked or now_us - self.last_received_us > UNRESPONSIVE_TIMEOUT_US:
             self.abort()
-        elif self.partial_since_us is not None and now_us - self.partial_since_us > MESSAGE_TIMEOUT_US:
+        elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self.counts["ws_closed_half_sent"] += 1
             self.abort()
         elif now_us - self.last_received_us > PING_IDLE_US and not self.ping_sent:
--- a/astertrack/wire/control.py
+++ b/astertrack/wire/control.py
@@ -61,6 +61,16 @@
         """Whether the service has accepted the request, so that events follow."""
         return self._decoder.is_open
 
+    @property
+    def line_count(self) -> int:
+        """The number of complete lines of the body received."""
+        return self._decoder.line_count
+
+    @property
+    def has_partial_line(self) -> bool:
+        """Whether the beginning of a line has been received and its end has not."""
+        return self._decoder.has_partial_line
+
     def receive(self, data: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete; events with unknown names are ignored."""
         events: list[Event] = []
--- a/astertrack/wire/peer.py
+++ b/astertrack/wire/peer.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
         self.has_failed = False
+        self.message_count = 0  # complete messages received
 
     @property
     def has_partial_message(self) -> bool:
@@ -88,6 +89,7 @@
                     break
                 events.append(self._parse_message(bytes(self._buffer[offset + 2:offset + 2 + length])))
                 offset += 2 + length
+                self.message_count += 1
         except MalformedError as error:
             self.has_failed = True
             self._buffer.clear()
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -52,6 +52,7 @@
         self._body = bytearray()
         self._has_head = self._is_chunked = self.is_ended = False
         self._chunk_left = -1  # bytes of the chunk still to come, with its line end; -1: its size line comes next
+        self.line_count = 0  # complete lines of the body received
         self._id = ""
         self._data: list[str] = []
         self._data_chars = 0
@@ -61,6 +62,11 @@
         """Whether the head of a response with status 200 was received, so that events follow."""
         return self._has_head
 
+    @property
+    def has_partial_line(self) -> bool:
+        """Whether the beginning of a line has been received and its end has not."""
+        return bool(self._body)
+
     def receive(self, data: bytes) -> list[ServerSentEvent | Malformed]:
         """Add received bytes and return the events that they complete; after Malformed nothing more is returned."""
         events: list[ServerSentEvent | Malformed] = []
@@ -123,6 +129,7 @@
     def _parse_events(self, events: list[ServerSentEvent | Malformed]) -> None:
         *lines, rest = bytes(self._body).replace(b"\r\n", b"\n").split(b"\n")
         self._body = bytearray(rest)
+        self.line_count += len(lines)
         if len(rest) > self._max_event_bytes:
             raise MalformedError("event too long")
         for raw in lines:
--- a/astertrack/wire/websocket.py
+++ b/astertrack/wire/websocket.py
@@ -118,6 +118,7 @@
         self._buffer = bytearray()
         self._output = bytearray()
         self._fragments: bytearray | None = None  # payload so far of a fragmented message
+        self.message_count = 0  # complete messages received, with the handshake and control frames between messages
         self._key = ""  # of the handshake request that was sent; only a client has one
 
     @property
@@ -152,6 +153,7 @@
                 return events
             while (frame := self._next_frame()) is not None:
                 self._handle_frame(*frame, events)
+                self.message_count += self._fragments is None
         except _ProtocolError as error:
             if self.state is not State.CONNECTING:
                 self.close(error.code)
@@ -182,6 +184,7 @@
         else:
             self._check_response(start_line, headers)
         self.state = State.OPEN
+        self.message_count += 1
         events.append(Opened())
         return True
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -23,7 +23,8 @@
     RECONNECT_INTERVAL_US,
     UNRESPONSIVE_TIMEOUT_US,
 )
-from astertrack.net.peers import PARTIAL_MESSAGE_TIMEOUT_US, Endpoint, PeerLink, PeerTable
+from astertrack.net.partial import STALLED_MESSAGE_TIMEOUT_US
+from astertrack.net.peers import Endpoint, PeerLink, PeerTable
 from astertrack.wire import peer as wire
 from ospreylug import interface as io
 
@@ -148,10 +149,10 @@
     message = wire.encode_message(wire.Message(
         wire.MessageType.ANSWER, FIRST_CALL, {wire.Parameter.DESCRIPTION: b"answer"}))
     peer.connection.dataReceived(message[:9])
-    peer.pass_time(PARTIAL_MESSAGE_TIMEOUT_US - 50_000)
+    peer.pass_time(STALLED_MESSAGE_TIMEOUT_US - 50_000)
     peer.connection.dataReceived(message[9:] + message[:3])
     assert peer.router_harness.answers == {FIRST_CALL: "answer"}
-    peer.pass_time(PARTIAL_MESSAGE_TIMEOUT_US - 50_000)
+    peer.pass_time(STALLED_MESSAGE_TIMEOUT_US - 50_000)
     assert not peer.transports[0].aborted
     peer.pass_time(100_000)
     assert peer.transports[0].aborted
