Dial a peer again after a dial that timed out, and catch errors by what they are

Cause: DialFactory took any UserError for a dial that the router had stopped itself; Twisted's TimeoutError is a UserError. The link believed that the dial was still under way.

Change: the link itself knows whether it stopped a dial, and every failure is reported to it as a DialFailure. The same cause on related paths: OverflowError and json's ValueError in events of the bulletin and in messages of the API, CannotListenError at the start, figures out of range in the configuration.

--- a/astertrack/__main__.py
+++ b/astertrack/__main__.py
@@ -22,15 +22,13 @@
         config = read_config(environ)
         logs.configure(config.gateway.log_format, config.gateway.log_level)
         return serve(config, cast(Any, default_reactor))
-    except (ConfigError, ValueError) as error:
+    except (ConfigError, ValueError, OSError) as error:
         print(f"astertrack: {error}", file=sys.stderr)
-    except OSError as error:
-        print(f"astertrack: cannot listen: {error}", file=sys.stderr)
     return 2
 
 
 def serve(config: Config, reactor: Any) -> int:
-    """Run a router on a reactor until a signal stops it. Raises ConfigError and OSError if it cannot start."""
+    """Run a router on a reactor until a signal stops it. Raises ConfigError if it cannot start."""
     app = App(config, reactor)
     app.start()
 
--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -12,6 +12,7 @@
 from astertrack.config import Config, ConfigError, read_bulletin_address
 from astertrack.core import Gate, Router
 from astertrack.net.apilink import ApiLink
+from astertrack.net.base import listen
 from astertrack.net.bulletin import Bulletin, read_event
 from astertrack.net.callers import SipFront
 from astertrack.net.clock import ReactorClock
@@ -97,14 +98,12 @@
         self._apply_roster(io.RosterKind.RESTORED, initial_peers)
         for part in self.parts:
             part.start(self.router)
-        self.listeners.append(self.reactor.listenTCP(
-            config.port, self.sip_front, backlog=LISTEN_BACKLOG, interface=config.host))
+        self.listeners.append(listen(self.reactor, config.host, config.port, self.sip_front, LISTEN_BACKLOG))
         if config.gateway.front is not None:
             host, port = config.gateway.front
             self.api_front = ApiFront(self.router, self.clock, config.classes, self.counts,
                                       config.gateway.path, max(8, int(config.sockets * API_DESCRIPTOR_RATIO)))
-            self.listeners.append(self.reactor.listenTCP(
-                port, self.api_front, backlog=LISTEN_BACKLOG, interface=host))
+            self.listeners.append(listen(self.reactor, host, port, self.api_front, LISTEN_BACKLOG))
         self.bulletin.start()
         log.info("serving", name=config.name, host=config.host, port=config.port, peers=len(initial_peers))
 
--- a/astertrack/cli/versions.py
+++ b/astertrack/cli/versions.py
@@ -81,6 +81,7 @@
     from twisted.internet import reactor as default_reactor  # noqa: PLC0415
     from twisted.internet.task import LoopingCall  # noqa: PLC0415
 
+    from astertrack.net.base import listen as start_listening  # noqa: PLC0415
     from astertrack.net.clock import ReactorClock  # noqa: PLC0415
     from astertrack.net.versionserver import VersionService  # noqa: PLC0415
     from astertrack.versions.offering import Catalogue  # noqa: PLC0415
@@ -100,10 +101,7 @@
         for message in plan_folder.scan():
             log.warning("plan file not published", error=message)
 
-    try:
-        listening = reactor.listenTCP(port, service, interface=host)
-    except OSError as error:
-        fail(f"cannot listen: {error}")
+    listening = start_listening(reactor, host, port, service)
     LoopingCall(scan).start(SCAN_INTERVAL_S)
     log.info("serving versions", folder=str(folder), address=f"{host}:{listening.getHost().port}")
     reactor.run()
--- a/astertrack/config.py
+++ b/astertrack/config.py
@@ -111,7 +111,7 @@
         return Gateway(split_address(listen, f"{path.name}: front.listen") if listen else None,
                        str(front.get("path", "/calls")), kind, str(store.get("database", "")),
                        tuple(destinations), str(log.get("format", "logfmt")), str(log.get("level", "info")))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path.name}: {error!r}") from None
 
 
@@ -182,5 +182,5 @@
                                  [str(zone) for zone in raw_settings.get("areas") or ()]))
     except WireError as error:
         raise ConfigError(f"settings: {error}") from None
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"RELAY_CONFIG: {path}: {error!r}") from None
--- a/astertrack/net/base.py
+++ b/astertrack/net/base.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import Protocol
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
+from astertrack.config import ConfigError
 from astertrack.core.model import Clock
 
+DEFAULT_BACKLOG = 50  # connections that wait to be accepted
+
 
 class StreamProtocol(Protocol):
     """A connection that can be written to and closed at any time, whether it is established or not."""
@@ -74,6 +78,17 @@
         """Called by Twisted when the connection has ended."""
 
 
+def listen(reactor: Any, host: str, port: int, factory: Factory, backlog: int = DEFAULT_BACKLOG) -> Any:
+    """Listen on an address, and return the listening port. Raises ConfigError, which names the address.
+
+    Twisted's CannotListenError is not an OSError.
+    """
+    try:
+        return reactor.listenTCP(port, factory, backlog=backlog, interface=host)
+    except CannotListenError as error:
+        raise ConfigError(f"cannot listen on {host}:{port}: {error.socketError}") from None
+
+
 def is_failure_of_type(reason: Failure, exception_type: type[Exception]) -> bool:
     """Return whether a connection, or an attempt to connect, ended with an exception of this type."""
     return isinstance(reason.value, exception_type)
--- a/astertrack/net/bulletin.py
+++ b/astertrack/net/bulletin.py
@@ -50,7 +50,7 @@
                 weight=float(item.get("weight") or 1.0),
                 started_us=int(item.get("since_ms") or 0) * 1000 or None)))
         return int(raw["no"]), bool(roster.get("snapshot")), endpoints
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise MalformedError(f"bulletin event: {error!r}") from None
 
 
@@ -154,7 +154,7 @@
         """Pass on the change of the roster that an event describes, once per event."""
         try:
             number, complete, endpoints = read_event(json.loads(event.data), self.zones, self.kinds)
-        except (MalformedError, json.JSONDecodeError, RecursionError) as error:
+        except (MalformedError, ValueError, RecursionError) as error:  # ValueError: of json, for numbers of any length
             self.counts["bulletin_malformed"] += 1
             log.warning("malformed bulletin event", error=str(error))
             # If it was corrupted on its way, it arrives intact when requested again. It is requested again only once,
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -5,10 +5,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 import structlog
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError, UserError
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TCPTimedOutError, TimeoutError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
@@ -43,12 +44,29 @@
 QUEUED_RELEASE_TIMEOUT_US = 250_000
 
 
+class DialFailure(Enum):
+    """Why a dial failed; the values are the ends of the counters' names."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    OTHER = "failed"  # an error of this host or of the network, or the handshake failed
+
+
+def classify_dial_failure(reason: Failure) -> DialFailure:
+    """Return why a dial failed. Only errors that are named here are more than a failure."""
+    if is_failure_of_type(reason, ConnectionRefusedError):
+        return DialFailure.REFUSED
+    if is_failure_of_type(reason, TimeoutError) or is_failure_of_type(reason, TCPTimedOutError):
+        return DialFailure.TIMED_OUT
+    return DialFailure.OTHER
+
+
 class DialFactory(ClientFactory):
     """Factory of one connection attempt."""
 
     noisy = False
 
-    def __init__(self, build_connection: Callable[[], Protocol], on_failure: Callable[[bool], None]) -> None:
+    def __init__(self, build_connection: Callable[[], Protocol], on_failure: Callable[[DialFailure], None]) -> None:
         self.build_connection, self.on_failure = build_connection, on_failure
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
@@ -57,8 +75,7 @@
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         """Called by Twisted when the connection cannot be established."""
-        if not is_failure_of_type(reason, UserError):  # UserError: this router stopped the attempt
-            self.on_failure(is_failure_of_type(reason, ConnectionRefusedError))
+        self.on_failure(classify_dial_failure(reason))
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,12 +219,14 @@
         for request, deadline_us in queued_set_ups.values():
             self.set_up(request, deadline_us)
 
-    def on_dial_failed(self, refused: bool) -> None:
-        """End the queued set-ups, which were never sent, after a refused or timed-out dial."""
+    def on_dial_failed(self, failure: DialFailure) -> None:
+        """End the queued set-ups, which were never sent, and dial again later."""
+        if self.retired:  # it stopped the dial itself
+            return
         self._connector = None
-        self.counts["peer_dials_refused" if refused else "peer_dials_timed_out"] += 1
+        self.counts[f"peer_dials_{failure.value}"] += 1
         queued_set_ups, self.queued_set_ups = self.queued_set_ups, {}
-        self._refused_dials = self._refused_dials + 1 if refused else 0
+        self._refused_dials = self._refused_dials + 1 if failure is DialFailure.REFUSED else 0
         if self._refused_dials >= REFUSED_DIALS_UNTIL_LOST:
             self.queued_releases.clear()
             self.router.on_peer_lost(self.name)  # the process is gone, and its calls with it
@@ -246,7 +265,7 @@
         if connection is self.connection:
             self._on_connection_ended(counter)
         elif self.connection is None:  # it ended before it was ready for use
-            self.on_dial_failed(refused=False)
+            self.on_dial_failed(DialFailure.OTHER)
 
     def _on_connection_ended(self, counter: str) -> None:
         """End the pending set-ups and reconnect. Established calls go on: no connection owns them.
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-import math
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -153,6 +152,15 @@
     SetUp: ("id", "service", "number", "deadline"), Error: ("code", "reason"), State: ()}
 
 
+def _is_encodable(text: str) -> bool:
+    """Return whether a text can be encoded: JSON can contain one half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _check_value(name: str, value: object, call: str | None) -> object:
     """Return the value if the field may have it; raises InvalidMessageError if not."""
     key, is_valid = KEY_NAMES.get(name, name), False
@@ -162,8 +170,8 @@
         is_valid = isinstance(value, bool)
     elif name in MAX_TEXT_LENGTHS:
         is_valid = isinstance(value, str) and len(value) <= MAX_TEXT_LENGTHS[name] and (
-            name == "description" or value.isprintable())
-    elif isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+            _is_encodable(value) if name == "description" else value.isprintable())
+    elif isinstance(value, bool) or not isinstance(value, (int, float)):
         is_valid = False
     elif name in INTEGER_RANGES:
         is_valid = isinstance(value, int) and INTEGER_RANGES[name][0] <= value <= INTEGER_RANGES[name][1]
--- a/ospreylug/wirehost.py
+++ b/ospreylug/wirehost.py
@@ -106,7 +106,7 @@
             callers_wait=bool(limits.get("retryAfter")),
             max_caller_wait_us=int(optional_number(limits, "maxRetryAfterUs", 0)),
             tandem_advice=bool(extra.get("routeAdvice")), tick_us=int(optional_number(env, "tickUs", 1000)))
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise WireError(f"settings: {error}") from None
 
 
--- a/tests/test_call_front.py
+++ b/tests/test_call_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 from typing import Any, cast
 
@@ -96,3 +97,16 @@
     assert front.calls
     reactor.advance(5)
     assert not front.calls
+
+
+@pytest.mark.parametrize("field", [
+    {"dest": 10**400}, {"width": 10**400}, {"width": float("inf")}, {"width": float("nan")}, {"deadline": 10**20},
+    {"description": "half a pair \ud800"}, {"number": "\ud800"}])
+def test_a_field_that_cannot_be_used_is_an_error_and_the_connection_goes_on(field: dict[str, Any]) -> None:
+    # Guards against docs/incidents/6: an OverflowError and a UnicodeEncodeError closed the connection.
+    _, connection, transport = connect()
+    sound = {"type": "setup", "id": "1" * 16, "class": "ledger-read", "number": "5", "dest": 1, "deadline": 2**50}
+    connection.dataReceived(frame(0x81, json.dumps(sound | field).encode()))
+    assert b'"code":"bad-field"' in transport.value()
+    connection.dataReceived(frame(0x81, json.dumps(sound).encode()))
+    assert connection.front.counts["ws_set_ups"] == 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -199,3 +200,18 @@
     assert [service.worth for service in config.settings.classes] == [1.0, 8.0]
     with pytest.raises(ConfigError, match="nowhere"):
         load_config(Path("/nowhere.toml"))
+
+
+@pytest.mark.parametrize("arguments", [("run", "--config", str(DEPLOY / "example.toml"), "--listen"),
+                                       ("versions", "serve", str(DEPLOY), "--listen")])
+def test_an_address_in_use_is_reported_in_one_line(arguments: tuple[str, ...]) -> None:
+    # Guards against docs/incidents/6: Twisted's CannotListenError is not an OSError, and left the program uncaught.
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        bound.listen()
+        address = f"127.0.0.1:{bound.getsockname()[1]}"
+        result = subprocess.run(command_line(*arguments, address), cwd=ROOT, capture_output=True, text=True,
+                                check=False, timeout=20)
+    assert result.returncode == 2
+    assert f"cannot listen on {address}" in result.stderr
+    assert "Traceback" not in result.stderr
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -34,7 +34,9 @@
 
 @pytest.mark.parametrize("config", [
     "{", "[]", {}, {**VALID_CONFIG, "settings": {}}, {**VALID_CONFIG, "listen": "here"},
-    {**VALID_CONFIG, "seed": "xyz"}, {**VALID_CONFIG, "known": 5}, {**VALID_CONFIG, "bulletin": "nowhere"},
+    {**VALID_CONFIG, "seed": "xyz"}, {**VALID_CONFIG, "settings": {**SETTINGS, "fleetSize": float("inf")}},
+    {**VALID_CONFIG, "limits": {"sockets": float("inf")}}, {**VALID_CONFIG, "known": {"no": float("inf"), "items": []}},
+    {**VALID_CONFIG, "known": 5}, {**VALID_CONFIG, "bulletin": "nowhere"},
     {**VALID_CONFIG, "settings": {**SETTINGS, "services": [{"name": "a"}]}}])
 def test_an_invalid_configuration_ends_the_program_with_one_line(config: object, tmp_path: Path) -> None:
     with pytest.raises(ConfigError):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from test_router import RouterHarness
-from twisted.internet.error import ConnectionLost, ConnectionRefusedError, TimeoutError
+from twisted.internet.error import (
+    ConnectBindError,
+    ConnectionLost,
+    ConnectionRefusedError,
+    NoRouteError,
+    TCPTimedOutError,
+    TimeoutError,
+    UserError,
+)
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
@@ -28,6 +36,7 @@
 from astertrack.wire import peer as wire
 from ospreylug import interface as io
 
+DIAL_ERRORS = [ConnectionRefusedError, TimeoutError, TCPTimedOutError, NoRouteError, ConnectBindError, UserError]
 FIRST_CALL, SECOND_CALL = "1" * 16, "2" * 16
 
 
@@ -39,15 +48,18 @@
         self.dials: list[Any] = []
         self.state = "connecting"
         self.stopped_dials = 0
+        self.is_dial_pending = False
 
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Any:
         """Called by a link to dial."""
         self.dials.append(factory)
+        self.is_dial_pending = True
         return self
 
     def stopConnecting(self) -> None:
         """Called by a link to stop a dial."""
         self.stopped_dials += 1
+        self.is_dial_pending = False
 
 
 class PeerHarness:
@@ -74,12 +86,14 @@
 
     def connect(self) -> None:
         """Establish the connection of the latest dial."""
+        self.reactor.is_dial_pending = False
         self.connection, transport = self.reactor.dials[-1].buildProtocol(None), cast(Any, FakeTransport)()
         self.transports.append(transport)
         self.connection.makeConnection(transport)
 
     def fail_dial(self, error: type[Exception]) -> None:
         """Let the latest dial fail."""
+        self.reactor.is_dial_pending = False
         self.reactor.dials[-1].clientConnectionFailed(None, cast(Any, Failure)(error()))
 
     def offer_call(self, call: str) -> None:
@@ -276,6 +290,21 @@
     assert not peer.transports[0].aborted
 
 
+@pytest.mark.parametrize("error", DIAL_ERRORS)
+def test_a_link_dials_again_whatever_the_error_of_its_dial(error: type[Exception]) -> None:
+    # Guards against docs/incidents/6: Twisted's TimeoutError is a UserError, and was taken for a dial that the router
+    # had stopped itself.
+    peer = PeerHarness()
+    peer.offer_call(FIRST_CALL)
+    peer.fail_dial(error)
+    assert peer.router.counts["attempts_unreachable"] == 1  # the queued set-up was never sent
+    peer.pass_time(RECONNECT_INTERVAL_US + 50_000)
+    assert len(peer.reactor.dials) == 2
+    peer.connect()
+    peer.offer_call(SECOND_CALL)
+    assert (wire.MessageType.SET_UP, SECOND_CALL) in peer.sent_messages()
+
+
 class LinkStates(RuleBasedStateMachine):
     """Model of a link that is down, dialling or up: each set-up has one outcome, whatever ends the connection."""
 
@@ -291,12 +320,12 @@
 
     @rule()
     def connect(self) -> None:
-        if self.peer.link.connection is None and self.peer.link._connector is not None:
+        if self.peer.reactor.is_dial_pending:
             self.peer.connect()
 
-    @rule(error=st.sampled_from([ConnectionRefusedError, TimeoutError]))
+    @rule(error=st.sampled_from(DIAL_ERRORS))
     def fail_dial(self, error: type[Exception]) -> None:
-        if self.peer.link.connection is None and self.peer.link._connector is not None:
+        if self.peer.reactor.is_dial_pending:
             self.peer.fail_dial(error)
 
     @rule(event=st.sampled_from(["corrupt", "reset", "close", "answer", "truncated"]))
@@ -327,7 +356,7 @@
         assert not link.pending_set_ups & set(link.queued_set_ups)
         assert not link.pending_set_ups or link.connection is not None
         assert all(count == 1 for count in self.peer.router_harness.finals.values())
-        assert link.connection is not None or link._connector is not None or link._reconnect_timer is not None
+        assert link.connection is not None or self.peer.reactor.is_dial_pending or link._reconnect_timer is not None
         assert len(link.queued_releases) <= self.call_count
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -153,6 +153,18 @@
     assert b"Last-Event-ID: 1\r\n" in harness.connections[1][1].value()
 
 
+@pytest.mark.parametrize("value", ["1e400", "9" * 5_000, "NaN"])
+def test_an_event_with_a_number_that_cannot_be_used_does_not_hide_the_next_one(value: str) -> None:
+    # Guards against docs/incidents/6: an OverflowError, or json's ValueError, ended each stream at this event.
+    malformed = EVENT.replace(b'"group": 1', b'"group": ' + value.encode())
+    harness = BulletinHarness()
+    for dial in range(2):
+        harness.pass_time(0.5)
+        harness.send(dial, HEAD + malformed + EVENT.replace(b"2", b"3", 1).replace(b'"no": 2', b'"no": 3'))
+    assert len(harness.changes) == 1
+    assert harness.bulletin.last_event == 3
+
+
 def test_a_reload_with_the_same_address_does_not_ask_a_slow_bulletin_anew() -> None:
     harness = BulletinHarness()
     for _ in range(3):
