Release a lost attempt on the next connection, however late, before the call's next set-up

Cause: the release expired 250 ms after the loss, the moment at which the dial after a short connection begins.

Change: a release waits in the link's queue for the next connection, where it goes out before any set-up, so that it cannot end a later attempt; the timeout that was to prevent this is gone. The next set-up of the call waits until the release was sent and for the release time after it, 1.5 s at most. The same cause on related paths: the hold of a repeated set-up after a restart ended between two dials, and the wait for the store at a stop met SIGKILL.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -32,6 +32,8 @@
 ESTABLISHED_TIMEOUT_US = 3_200_000  # how long a stop waits for established calls; SIGKILL comes after 3.7 s
 STOP_CHECK_INTERVAL_US = 50_000  # between checks whether all calls have ended
 STORE_CLOSE_TIMEOUT_US = 2_000_000  # how long a stop waits for the store
+EXIT_TIMEOUT_US = 3_550_000  # a stop waits for the store no longer than this after its signal: before SIGKILL
+MIN_STORE_CLOSE_US = 100_000  # but always for this long
 LISTEN_BACKLOG = 512
 # Fractions of the file descriptors that connections of SIP and of WebSocket callers may hold. Callers in use hold at
 # most a third of all descriptors; the remainder of these fractions is for connections that never send anything.
@@ -163,10 +165,15 @@
                 client.close_going_away()
             for connection in list(self.sip_front.connections):
                 connection.close()
-            self.clock.call_at(self.clock.now_us() + STORE_CLOSE_TIMEOUT_US, self._abandon_store)
+            self.clock.call_at(self._store_deadline_us(), self._abandon_store)
             self.store.close().addCallback(
                 lambda _: self.clock.call_at(self.clock.now_us() + STOP_CHECK_INTERVAL_US, self.reactor.stop))
 
+    def _store_deadline_us(self) -> int:
+        now = self.clock.now_us()
+        exit_us = (self.stop_requested_us or now) + EXIT_TIMEOUT_US
+        return max(now + MIN_STORE_CLOSE_US, min(now + STORE_CLOSE_TIMEOUT_US, exit_us))
+
     def _abandon_store(self) -> None:
         """Exit although the store hangs: its thread cannot be stopped."""
         log.warning("store did not close in time; exiting without it")
--- a/astertrack/core/calls.py
+++ b/astertrack/core/calls.py
@@ -32,4 +32,8 @@
     attempt: Attempt | None = None
     attempts: int = 0
     next_attempt_us: int = 0  # earliest time of the next attempt
+    # The attempt before may stand at a peer while its release waits for a connection, or has only just been sent.
+    released_us: int = 0  # earliest time of the next set-up after that release was sent
+    hold_end_us: int = 0  # a set-up does not wait longer for the release
+    held_set_up: Timer | None = None  # sends the set-up that waits
     is_established: bool = False
--- a/astertrack/core/model.py
+++ b/astertrack/core/model.py
@@ -101,8 +101,11 @@
     def release(self, peer: str, call_id: str, cause: int) -> None:
         """Release an established call."""
 
-    def is_release_pending(self, call_id: str) -> bool:
-        """Return whether a release of this call waits for a connection that is being established."""
+    def is_release_pending(self, call_id: str, peer: str = "") -> bool:
+        """Return whether a release of this call waits for a connection.
+
+        One that waits for an unresponsive peer, which may never be sent, counts only if that peer is given.
+        """
 
     def probe(self, peer: str) -> None:
         """Send a probe to a peer."""
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -41,6 +41,7 @@
 # A release before a set-up that waits for a connection delays the set-up by no more than this. Connections to peers may
 # take a second to be established.
 MAX_RELEASE_HOLD_US = 1_500_000
+RELEASE_CHECK_INTERVAL_US = 10_000  # between checks whether a release that delays a set-up was sent
 RETRY_WAIT_US = 1_000_000  # wait before a retry, given with refusals that neither the gate nor the module decided
 # Outcomes after which the peer may have executed the set-up: a new attempt has to wait for the release.
 POSSIBLY_EXECUTED = (io.Outcome.TIMEOUT, io.Outcome.CUT, io.Outcome.CALLED_OFF)
@@ -297,6 +298,11 @@
                 call = self._find_unanswered(call_id)
                 if call is not None and call.attempt is not None and call.attempt.number == attempt_number:
                     self._cancel_attempt(call, io.Outcome.CALLED_OFF, settled=False)
+                elif call is not None and call.held_set_up is not None and call.attempts == attempt_number:
+                    self._cancel_held_set_up(call)
+                    call.attempts += 1
+                    self._dispatch(io.AttemptEnded(call_id, attempt_number, "", io.Outcome.NOT_SENT, 0, False,
+                                                   io.Cause.NONE))
             case io.SetTimer(token, at_us):
                 self.clock.call_at(at_us, lambda: self._dispatch(io.TimerDue(token)))
             case io.Probe(peer):
@@ -310,16 +316,17 @@
     def _set_up(self, call_id: str, peer: str, deadline_us: int) -> None:
         """Send a set-up, or report to the module that it was not sent: no circuit is free or a rule forbids it."""
         call = self._find_unanswered(call_id)
-        if call is None:
+        if call is None or self._hold_set_up(call, peer, deadline_us):
             return
         attempt_number, now = call.attempts, self.now_us()
         call.attempts += 1
         deadline_us = min(deadline_us, call.answer_by_us)
         entry = self.roster.get(peer)
         no_circuit = not self.circuits.has_room(peer, call.request.width)
+        may_stand = attempt_number > 0 and self.peers.is_release_pending(call_id, peer)
         if (call.attempt is not None or attempt_number >= self.settings.max_attempts
                 or now < call.next_attempt_us or entry is None or entry.readiness is not io.Readiness.READY
-                or deadline_us <= now or no_circuit
+                or deadline_us <= now or no_circuit or may_stand
                 or (call.admission is not None and not call.admission.permits(call.request, entry, now))):
             self.counts["attempts_moot_here"] += 1
             cause = io.Cause.NO_CIRCUIT if no_circuit else io.Cause.NONE
@@ -333,6 +340,40 @@
         attempt.timer = self.clock.call_at(deadline_us, lambda: self._on_attempt_timeout(call, attempt))
         self.peers.set_up(peer, call.request, deadline_us)
 
+    def _hold_set_up(self, call: Call, peer: str, deadline_us: int) -> bool:
+        """Return whether a set-up has to wait, and send it later if so.
+
+        The attempt before was lost with its connection, and may stand at its peer. The next one waits until that was
+        released, and for the release time after it. Whatever the set-up depends on is checked when it is sent.
+        """
+        now = self.now_us()
+        if now < call.released_us:
+            next_check_us = call.released_us
+        elif now < call.hold_end_us and self.peers.is_release_pending(call.request.call_id, peer):
+            next_check_us = now + RELEASE_CHECK_INTERVAL_US
+        else:
+            return False
+        if call.held_set_up is None:
+            self.counts["attempts_held_for_release"] += 1
+        call.held_set_up = self.clock.call_at(next_check_us, lambda: self._send_held_set_up(call, peer, deadline_us))
+        return True
+
+    def _send_held_set_up(self, call: Call, peer: str, deadline_us: int) -> None:
+        if not self._hold_set_up(call, peer, deadline_us):
+            call.held_set_up = None
+            self._set_up(call.request.call_id, peer, deadline_us)
+
+    def _cancel_held_set_up(self, call: Call) -> None:
+        if call.held_set_up is not None:
+            call.held_set_up.cancel()
+            call.held_set_up = None
+
+    def on_attempt_released(self, call_id: str) -> None:
+        """Called when the release of an attempt that was lost with its connection was sent on a later one."""
+        call = self._find_unanswered(call_id)
+        if call is not None and call.attempt is None:
+            call.released_us = self.now_us() + self.settings.release_us
+
     # ---- the ends of calls and attempts
 
     def _find_unanswered(self, call_id: str) -> Call | None:
@@ -374,6 +415,7 @@
         load = self._add_circuit_report(attempt.peer, end.load)
         if end.outcome in POSSIBLY_EXECUTED:
             call.next_attempt_us = now + self.settings.release_us
+            call.hold_end_us = now + MAX_RELEASE_HOLD_US
         self._dispatch(io.AttemptEnded(call.request.call_id, attempt.number, attempt.peer, end.outcome,
                                        now - attempt.sent_us, settled, end.cause, 0, load))
 
@@ -419,6 +461,7 @@
 
     def _cancel_timers(self, call: Call) -> None:
         """Cancel the timers of a call that has its final answer."""
+        self._cancel_held_set_up(call)
         if call.guard_timer is not None:
             call.guard_timer.cancel()
             call.guard_timer = None
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -39,9 +39,15 @@
 PEER_LOST_TIMEOUT_US = 6_750_000
 LIVENESS_CHECK_INTERVAL_US = 100_000
 MIN_PROBE_WAIT_US = UNRESPONSIVE_TIMEOUT_US - KEEPALIVE_IDLE_US - LIVENESS_CHECK_INTERVAL_US
-# The release of a set-up whose connection was lost is sent only within this time: on the platform a set-up may be sent
-# again after 300 ms, and a release names only the call, so a later one could release the new attempt.
-QUEUED_RELEASE_TIMEOUT_US = 250_000
+
+
+class ConnectionEnd(Enum):
+    """How a connection ended; the values are the names of the counters."""
+
+    CLOSED = "peer_closes"
+    RESET = "peer_resets"
+    ABORTED = "peer_drops"  # by the router
+    UNRESPONSIVE = "peer_silent"  # and aborted by the router
 
 
 class DialFailure(Enum):
@@ -84,7 +90,7 @@
 
     cause: int
     is_answered: bool  # whether the call was answered; otherwise it cancels a set-up
-    since_us: int
+    may_never_be_sent: bool = False  # the peer was unresponsive
 
 
 @dataclass(eq=False)
@@ -165,17 +171,16 @@
         """
         now = self.clock.now_us()
         if self.connection is not None and self._is_silent(now):
-            self.counts["peer_silent"] += 1
             if self._last_received_us >= self._connected_us and not self._has_responded:  # alive, but perhaps slow
                 self._unresponsive_timeout_us = min(MAX_UNRESPONSIVE_TIMEOUT_US, 2 * self._unresponsive_timeout_us)
-            self.abort_connection(self.connection)
+            self.abort_connection(self.connection, ConnectionEnd.UNRESPONSIVE)
         elif (self.connection is not None and now - self._last_received_us > KEEPALIVE_IDLE_US
                 and self._probe_sent_us is None):
             self._probe_sent_us = now
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
-            self.queued_releases |= dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, now))
+            self.queued_releases |= dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, True))
 
     def _is_silent(self, now_us: int) -> bool:
         """Return whether the peer has sent nothing for the timeout, and has had the time to answer a probe.
@@ -207,18 +212,25 @@
             connection.abort()
             return
         self.connection, self._connector, self._refused_dials = connection, None, 0
-        self._connected_us = now = self.clock.now_us()
+        self._connected_us = self.clock.now_us()
         self._probe_sent_us, self._has_responded = None, False
         self.counts["peer_connections"] += 1
-        queued_releases, self.queued_releases = self.queued_releases, {}
-        for call_id, queued in queued_releases.items():
-            if queued.is_answered or now - queued.since_us < QUEUED_RELEASE_TIMEOUT_US:
-                self.send_release(call_id, queued.cause, queued.is_answered)
+        self._send_queued_releases()
         self.resume_calls()
         queued_set_ups, self.queued_set_ups = self.queued_set_ups, {}
         for request, deadline_us in queued_set_ups.values():
             self.set_up(request, deadline_us)
 
+    def _send_queued_releases(self) -> None:
+        """Send the releases that wait for the connection, before any set-up is sent on it.
+
+        A release names only its call. Because of this order, it cannot release a later attempt, however late it is.
+        """
+        queued_releases, self.queued_releases = self.queued_releases, {}
+        for call_id, queued in queued_releases.items():
+            self.send_release(call_id, queued.cause, queued.is_answered)
+            self.router.on_attempt_released(call_id)
+
     def on_dial_failed(self, failure: DialFailure) -> None:
         """End the queued set-ups, which were never sent, and dial again later."""
         if self.retired:  # it stopped the dial itself
@@ -236,16 +248,17 @@
 
     def on_disconnected(self, connection: StreamProtocol, reason: Failure) -> None:
         """Handle the end of a connection, which also ends the set-ups that are pending on it."""
-        self.mark_ended(connection, "peer_closes" if is_failure_of_type(reason, ConnectionDone) else "peer_resets")
+        is_close = is_failure_of_type(reason, ConnectionDone)
+        self.mark_ended(connection, ConnectionEnd.CLOSED if is_close else ConnectionEnd.RESET)
 
-    def abort_connection(self, connection: StreamProtocol) -> None:
+    def abort_connection(self, connection: StreamProtocol, end: ConnectionEnd = ConnectionEnd.ABORTED) -> None:
         """Abort a connection and treat it as ended.
 
         Used for unresponsive peers, for retired links, and after corrupt or truncated data, because the messages that
         follow it cannot be found.
         """
         connection.abort()
-        self.mark_ended(connection, "peer_drops")
+        self.mark_ended(connection, end)
 
     def on_incomplete_message(self, connection: StreamProtocol) -> None:
         """Abort a connection on which a message stays incomplete: what follows would be taken for the rest of it."""
@@ -254,20 +267,17 @@
             log.warning("truncated message from a peer", peer=self.name)
             self.abort_connection(connection)
 
-    def mark_ended(self, connection: StreamProtocol, counter: str = "peer_closes") -> None:
-        """Treat a connection as ended from now on: its close may be delayed, and no set-up may be sent on it.
-
-        `counter` names the counter of this kind of end.
-        """
+    def mark_ended(self, connection: StreamProtocol, end: ConnectionEnd = ConnectionEnd.CLOSED) -> None:
+        """Treat a connection as ended from now on: its close may be delayed, and no set-up may be sent on it."""
         if connection.is_closed:
             return
         connection.is_closed = True
         if connection is self.connection:
-            self._on_connection_ended(counter)
+            self._on_connection_ended(end)
         elif self.connection is None:  # it ended before it was ready for use
             self.on_dial_failed(DialFailure.OTHER)
 
-    def _on_connection_ended(self, counter: str) -> None:
+    def _on_connection_ended(self, end: ConnectionEnd) -> None:
         """End the pending set-ups and reconnect. Established calls go on: no connection owns them.
 
         A reset alone does not prove that the peer's process died, so it must not end established calls: if the
@@ -276,15 +286,17 @@
         nobody.
         """
         self.connection, self._probe_sent_us = None, None
-        self.counts[counter] += 1
-        now = self.clock.now_us()
+        self.counts[end.value] += 1
+        is_unresponsive = end is ConnectionEnd.UNRESPONSIVE
+        if is_unresponsive:
+            self.counts[ConnectionEnd.ABORTED.value] += 1
         pending, self.pending_set_ups = self.pending_set_ups, set()
-        if counter != "peer_closes":
-            log.warning("connection to a peer ended", peer=self.name, why=counter, set_ups=len(pending))
-        self.queued_releases |= dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, now))
+        if end is not ConnectionEnd.CLOSED:
+            log.warning("connection to a peer ended", peer=self.name, why=end.value, set_ups=len(pending))
+        self.queued_releases |= dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive))
         for call_id in pending:
             self.router.on_ended(self.name, call_id, AttemptEnd(self.connection_lost_outcome))
-        if now - self._connected_us < MIN_CONNECTED_US:
+        if self.clock.now_us() - self._connected_us < MIN_CONNECTED_US:
             self._schedule_reconnect()
         else:
             self.dial()  # messages about established calls arrive on the next connection
@@ -346,9 +358,10 @@
             self.counts["peer_releases_sent"] += 1
             self.send_release(call_id, cause, answered)
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
-            self.queued_releases[call_id] = QueuedRelease(cause, answered, self.clock.now_us())
+            self.queued_releases[call_id] = QueuedRelease(cause, answered)
             self.dial()
 
-    def is_release_pending(self, call_id: str) -> bool:
-        """Return whether a release of this call waits for the connection that is being established."""
-        return self._connector is not None and call_id in self.queued_releases
+    def is_release_pending(self, call_id: str, also_if_unresponsive: bool = True) -> bool:
+        """Return whether a release of this call waits for a connection, also between two dials."""
+        queued = self.queued_releases.get(call_id)
+        return queued is not None and (also_if_unresponsive or not queued.may_never_be_sent)
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -242,9 +242,12 @@
         if (link := self.links.get(peer)) is not None:
             link.release(call_id, cause)
 
-    def is_release_pending(self, call_id: str) -> bool:
-        """Return whether a release of this call waits for a connection that is being established."""
-        return any(link.is_release_pending(call_id) for link in self.links.values())
+    def is_release_pending(self, call_id: str, peer: str = "") -> bool:
+        """Return whether a release of this call waits for a connection.
+
+        One that waits for an unresponsive peer, which may never be sent, counts only if that peer is given.
+        """
+        return any(link.is_release_pending(call_id, link.name == peer) for link in self.links.values())
 
     def probe(self, peer: str) -> None:
         """Send a probe to a peer."""
--- a/benchmarks/narrowing.py
+++ b/benchmarks/narrowing.py
@@ -116,7 +116,7 @@
     def release(self, peer: str, call_id: str, cause: int) -> None:
         """Implements Peers."""
 
-    def is_release_pending(self, call_id: str) -> bool:
+    def is_release_pending(self, call_id: str, peer: str = "") -> bool:
         """Implements Peers."""
         return False
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -305,6 +305,48 @@
     assert (wire.MessageType.SET_UP, SECOND_CALL) in peer.sent_messages()
 
 
+@pytest.mark.parametrize("connected_us", [0, 50_000, 600_000])
+@pytest.mark.parametrize("dial_us", [0, 50_000, 400_000])
+def test_a_lost_attempt_is_released_some_time_before_the_next_one(connected_us: int, dial_us: int) -> None:
+    # Guards against docs/incidents/7: the release expired at the moment at which the next dial began.
+    def sent() -> list[tuple[int, str]]:
+        return [(kind, call) for kind, call in peer.sent_messages() if kind != wire.MessageType.TEST]
+
+    peer = connected_peer()
+    peer.pass_time(connected_us)
+    peer.offer_call(FIRST_CALL)
+    peer.connection.connectionLost(cast(Any, Failure)(ConnectionLost()))
+    while not peer.reactor.is_dial_pending:
+        peer.pass_time(50_000)
+    peer.pass_time(dial_us)
+    peer.connect()
+    assert sent() == [(wire.MessageType.RELEASE, FIRST_CALL)]
+    peer.pass_time(250_000)
+    assert sent() == [(wire.MessageType.RELEASE, FIRST_CALL)]
+    peer.pass_time(100_000)
+    assert sent() == [(wire.MessageType.RELEASE, FIRST_CALL), (wire.MessageType.SET_UP, FIRST_CALL)]
+    peer.send_answer(FIRST_CALL)
+    assert peer.router_harness.finals == {FIRST_CALL: 1}
+
+
+def test_a_release_waits_between_two_dials_as_well() -> None:
+    peer = connected_peer(FIRST_CALL)
+    peer.connection.connectionLost(cast(Any, Failure)(ConnectionLost()))
+    while not peer.reactor.is_dial_pending:
+        peer.pass_time(50_000)
+    peer.fail_dial(TimeoutError)
+    assert peer.table.is_release_pending(FIRST_CALL)
+
+
+def test_a_lost_attempt_at_an_unresponsive_peer_delays_set_ups_to_that_peer_only() -> None:
+    peer = connected_peer(FIRST_CALL)
+    peer.pass_time(UNRESPONSIVE_TIMEOUT_US + 2 * LIVENESS_CHECK_INTERVAL_US)
+    assert peer.transports[0].aborted
+    assert not peer.table.is_release_pending(FIRST_CALL)
+    assert not peer.table.is_release_pending(FIRST_CALL, "x2")
+    assert peer.table.is_release_pending(FIRST_CALL, "x1")
+
+
 class LinkStates(RuleBasedStateMachine):
     """Model of a link that is down, dialling or up: each set-up has one outcome, whatever ends the connection."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -96,7 +96,7 @@
         if self.peer_by_call.get(call_id) == peer:
             del self.peer_by_call[call_id]
 
-    def is_release_pending(self, call_id: str) -> bool:
+    def is_release_pending(self, call_id: str, peer: str = "") -> bool:
         return call_id in self.releases_waiting_for_connection
 
     def probe(self, peer: str) -> None:
@@ -339,3 +339,42 @@
     harness.offer("b", wait_us=130_000)
     harness.pass_time(130_000)
     assert harness.finals["b"] == 1  # refused before its deadline all the same
+
+
+def lose_connection(harness: RouterHarness, call_id: str) -> None:
+    """Lose the connection of a call's set-up; its release waits for the next one."""
+    harness.releases_waiting_for_connection.add(call_id)
+    harness.peer_ends(call_id, io.Outcome.CUT)
+
+
+def test_a_set_up_waits_until_the_lost_attempt_was_released_and_for_the_release_time() -> None:
+    # Guards against docs/incidents/7: the call was set up again while its first attempt stood.
+    harness = RouterHarness()
+    harness.offer("a")
+    lose_connection(harness, "a")
+    harness.pass_time(500_000)
+    assert len(harness.set_ups) == 1
+    harness.releases_waiting_for_connection.clear()
+    harness.router.on_attempt_released("a")
+    harness.pass_time(299_999)
+    assert len(harness.set_ups) == 1
+    harness.pass_time(1)
+    assert harness.set_ups == [("x1", "a"), ("x1", "a")]
+    assert harness.router.counts["attempts_held_for_release"] == 1
+    harness.router.on_answered("x1", "a", b"answer")
+    assert harness.finals == {"a": 1}
+
+
+def test_a_held_retry_is_never_sent_after_its_call_has_ended_nor_while_the_attempt_may_stand() -> None:
+    harness = RouterHarness()
+    for call_id in ("gone", "unreleased"):
+        harness.offer(call_id)
+        lose_connection(harness, call_id)
+    harness.pass_time(500_000)
+    assert harness.router.cancel("gone")
+    harness.releases_waiting_for_connection.discard("gone")
+    harness.router.on_attempt_released("gone")
+    harness.pass_time(3 * SECOND)
+    assert len(harness.set_ups) == 2
+    assert harness.finals == {"unreleased": 1}
+    assert not harness.router.calls and not harness.violations
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import sqlite3
 import struct
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,8 @@
 
 from laboratory.stand_ins import BinaryNode, SipCaller, running_router, wait_until
 
+SIGKILL_S = 3.7  # after SIGTERM, at the earliest, on the platform
+
 CALLS = [f"{n:016x}" for n in range(0x500, 0x508)]
 
 
@@ -110,6 +113,21 @@
     run(body)
 
 
+def test_a_stop_with_an_established_call_and_a_stalled_store_ends_before_sigkill() -> None:
+    # Guards against docs/incidents/7: the wait for the store ended 1.5 s after SIGKILL.
+    async def body() -> None:
+        node, server = await BinaryNode().start(), await PostgresStandIn(unresponsive=True).start()
+        async with running_router({1: node}, gateway=gateway_settings(server.port)) as router:
+            caller = await SipCaller.connect(router.sip_port)
+            caller.invite(CALLS[0], "long-1", 1)
+            await wait_until(lambda: CALLS[0] in caller.final_responses)
+            start_s = time.monotonic()
+            counts = await router.stop_and_read_counters()
+            assert time.monotonic() - start_s < SIGKILL_S
+            assert counts["store_waiting"] == 1
+    run(body)
+
+
 @pytest.mark.parametrize("unresponsive", [True, False])
 def test_unresponsive_or_unreachable_store_affects_no_call(unresponsive: bool) -> None:
     async def body() -> None:
