Send releases only where a caller reads them, and again where they may have been lost

Cause: without a connection with an answered call, a release went to the connection that was active last, even one without a whole message, and was then taken for received.

Change: net/caller_releases.py chooses by a degree of trust: an answered call, else whole and sound messages, else never. A release without the first degree is repeated. The number and the time of waiting releases are bounded. The same cause towards peers: a release was forgotten although its connection was unresponsive or was reset; it is sent again on the next one unless bytes came 100 ms or more after it.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -80,7 +80,7 @@
     def _release_orphan(self, call_id: str, cause: int) -> None:
         """Release a call of the process before a restart towards its caller: a client that resumed it, or by SIP."""
         if self.api_front is None or not self.api_front.release_orphan(call_id, cause):
-            self.sip_front.release(call_id, cause)
+            self.sip_front.releases.release(call_id, cause)
 
     def start(self) -> None:
         """Load the peers of the configuration, start the parts, listen, and follow the bulletin."""
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -6,10 +6,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from itertools import islice, takewhile
 from socket import MSG_DONTWAIT, MSG_PEEK
-from typing import Any
+from typing import Any, cast
 
 import structlog
 from twisted.internet.interfaces import IAddress
@@ -19,6 +18,7 @@
 from astertrack.core import Request, Router
 from astertrack.core.model import Clock
 from astertrack.net.base import BackpressureProducer, StreamProtocol
+from astertrack.net.caller_releases import CallerReleases, ReleaseConnection, Trust
 from astertrack.net.partial import PartialMessage
 from astertrack.wire import sip
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
@@ -27,7 +27,7 @@
 # SIP response codes (RFC 3261, section 21).
 SERVICE_UNAVAILABLE, SERVER_INTERNAL_ERROR, REQUEST_TERMINATED, BAD_REQUEST = 503, 500, 487, 400
 READ_BUFFER_BYTES = 4096  # read from one connection per reactor iteration: about ten set-ups
-SWEEP_INTERVAL_US = 250_000  # between checks of the connections and the pending releases
+SWEEP_INTERVAL_US = 250_000  # between checks of the connections and of the releases that are not confirmed
 # A connection whose first message, or the message it has begun, is not complete after this time is closed: a caller
 # must get an answer or the close within 3 s of connecting.
 MESSAGE_TIMEOUT_US = 2_400_000
@@ -36,22 +36,10 @@
 CLOSE_TIMEOUT_US = 500_000  # a connection that is being closed has this time to send the rest of its write buffer
 MIN_EVICTION_IDLE_US = 100_000  # a connection that was active more recently is not closed to make room for another
 MAX_EVICTION_CANDIDATES = 32  # examined per eviction: examining all connections would take too long when there are many
-RELEASE_RESPONSE_TIMEOUT_US = 350_000  # an unconfirmed release is then sent again on another connection
-MAX_RELEASE_ATTEMPTS = 3
 MAX_WIDTH = 64.0  # circuits
 MAX_DEADLINE_RATIO = 2  # a set-up whose deadline is more than this multiple of its class's deadline is invalid
 
 
-@dataclass(slots=True)
-class PendingRelease:
-    """A release that no caller has confirmed yet."""
-
-    cause: int
-    requested_us: int
-    sent_us: int = 0
-    tried_connections: list[CallerConnection] = field(default_factory=list)  # on which it was sent
-
-
 class SipFront(Factory):
     """All connections from callers."""
 
@@ -60,7 +48,7 @@
         self.router, self.clock, self.classes, self.counts, self.max_connections = (
             router, clock, classes, counts, max_connections)
         self.connections: dict[CallerConnection, None] = {}  # the one that has been idle for longest first
-        self.pending_releases: dict[str, PendingRelease] = {}  # by call id: not sent yet, or not confirmed
+        self.releases = CallerReleases(cast(dict[ReleaseConnection, None], self.connections), clock, counts)
         # A connection that was evicted keeps its descriptor until the next iteration of the reactor.
         self.open_descriptors = 0
         clock.call_at(clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -94,47 +82,9 @@
         now = self.clock.now_us()
         for connection in list(self.connections):
             connection.check_timeouts(now)
-        for call_id, release in list(self.pending_releases.items()):
-            self._check_release(call_id, release, now)
+        self.releases.check()
         self.clock.call_at(now + SWEEP_INTERVAL_US, self._sweep)
 
-    # ---- releases
-
-    def release(self, call_id: str, cause: int, preferred: CallerConnection | None = None) -> None:
-        """Release an established call, on its own connection or any other: no connection owns a call."""
-        self.counts["sip_releases_sent"] += 1
-        self.pending_releases[call_id] = release = PendingRelease(cause, self.clock.now_us())
-        self._send_release(call_id, release, preferred)
-
-    def _send_release(self, call_id: str, release: PendingRelease, preferred: CallerConnection | None = None,
-                      any_connection: bool = False) -> None:
-        """Send a release on the preferred connection or the most recently active one on which calls were answered.
-
-        A caller that connects but neither makes calls nor reads would never receive it. With any_connection, one
-        without answered calls will do.
-        """
-        def is_candidate(c: CallerConnection) -> bool:
-            return c.is_writable() and c not in release.tried_connections and (c.has_answered_call or any_connection)
-
-        if preferred is None or preferred not in self.connections or not is_candidate(preferred):
-            preferred = next((c for c in reversed(self.connections) if is_candidate(c)), None)
-        if preferred is None:
-            return  # the next sweep tries again
-        release.tried_connections.append(preferred)
-        release.sent_us = self.clock.now_us()
-        preferred.release(call_id, release.cause)
-
-    def _check_release(self, call_id: str, release: PendingRelease, now_us: int) -> None:
-        if not release.tried_connections:
-            # There was no connection with answered calls to send it on: after one interval any connection will do.
-            self._send_release(call_id, release, any_connection=now_us - release.requested_us >= SWEEP_INTERVAL_US)
-        elif not self.counts["sip_releases_heard"] or len(release.tried_connections) >= MAX_RELEASE_ATTEMPTS:
-            # Callers are not obliged to confirm a release: while none ever has, repeating one is of no use.
-            del self.pending_releases[call_id]
-        elif now_us - release.sent_us > RELEASE_RESPONSE_TIMEOUT_US:
-            self.counts["sip_releases_repeated"] += 1
-            self._send_release(call_id, release)
-
 
 class CallerConnection(StreamProtocol):
     """One connection. Implements the core's Caller port for the calls that arrived on it."""
@@ -145,7 +95,8 @@
         self.idle_since_us = front.clock.now_us()  # since when no message was completed or sent
         self.partial_message = PartialMessage(self.sip_connection, self.idle_since_us)
         self.closing_since_us: int | None = None
-        self.has_sent_message = self.has_answered_call = False  # the caller sent a message; one of its calls got a 200
+        self.has_sent_message = self.has_sent_invalid_message = False
+        self.has_answered_call = False  # one of the caller's calls was answered
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
@@ -182,6 +133,14 @@
     def _on_pause(self) -> None:
         self.counts["sip_pauses"] += 1
 
+    @property
+    def trust(self) -> Trust:
+        """How likely it is that a caller receives what is sent here."""
+        if self.has_answered_call:
+            return Trust.ANSWERED_CALL
+        is_sound = self.has_sent_message and not self.has_sent_invalid_message
+        return Trust.SOUND_MESSAGES if is_sound else Trust.NONE
+
     def is_writable(self) -> bool:
         """Return whether the caller is likely to read what is written here."""
         return self.closing_since_us is None and self.write_blocked_since_us is None
@@ -252,7 +211,7 @@
                     self.counts["sip_acknowledged"] += 1
                 case sip.ReleaseConfirmed(call_id):
                     self.counts["sip_releases_heard"] += 1
-                    self.front.pending_releases.pop(call_id, None)
+                    self.front.releases.confirm(call_id)
                 case Malformed(reason):
                     log.warning("malformed data from a caller", reason=reason)
                     self._refuse_and_close("sip_malformed")
@@ -266,10 +225,12 @@
             self.counts["sip_unplaceable"] += 1
             log.warning("set-up of an unknown class or with attributes out of range", call=event.call,
                         tier=event.class_name[:40], wait_ms=event.wait_ms, figures=event.attrs[:80])
+            self.has_sent_invalid_message = True
             self.on_failed(event.call)
         elif not self.router.offer(request, self):
             # A call with this id is in progress on another connection. That call and its caller must not be affected.
             log.warning("set-up with the id of a call in progress", call=event.call)
+            self.has_sent_invalid_message = True
             self.sip_connection.reject(event.call, BAD_REQUEST)
 
     def _make_request(self, event: sip.SetUp, service: int) -> Request | None:
@@ -314,7 +275,7 @@
 
     def on_released(self, call_id: str, cause: int) -> None:
         """Release an established call that has ended, preferably on this connection."""
-        self.front.release(call_id, cause, self)
+        self.front.releases.release(call_id, cause, self)
 
     def release(self, call_id: str, cause: int) -> None:
         """Send a release on this connection."""
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -39,6 +39,8 @@
 PEER_LOST_TIMEOUT_US = 6_750_000
 LIVENESS_CHECK_INTERVAL_US = 100_000
 MIN_PROBE_WAIT_US = UNRESPONSIVE_TIMEOUT_US - KEEPALIVE_IDLE_US - LIVENESS_CHECK_INTERVAL_US
+# Bytes that arrive this long after a release, which is more than a round trip, show that the connection carried it.
+RELEASE_DELIVERY_US = 100_000
 
 
 class ConnectionEnd(Enum):
@@ -109,6 +111,8 @@
     queued_set_ups: dict[str, tuple[Request, int]] = field(default_factory=dict)
     pending_set_ups: set[str] = field(default_factory=set)  # sent on the connection and neither answered nor ended
     queued_releases: dict[str, QueuedRelease] = field(default_factory=dict)  # by call id
+    # Sent on the present connection, perhaps in vain: with the time of sending in microseconds, the oldest first.
+    undelivered_releases: dict[str, tuple[QueuedRelease, int]] = field(default_factory=dict)
     connection_lost_outcome: io.Outcome = io.Outcome.CUT  # of set-ups whose connection is lost
     _connector: Any = None
     _refused_dials: int = 0
@@ -148,6 +152,11 @@
         self._last_received_us = now
         if now - self._connected_us > KEEPALIVE_IDLE_US:
             self._has_responded = True
+        while self.undelivered_releases:
+            call_id, (_, sent_us) = next(iter(self.undelivered_releases.items()))
+            if now - sent_us < RELEASE_DELIVERY_US:
+                break
+            del self.undelivered_releases[call_id]
         if self._probe_sent_us is not None:
             response_time_us = now - self._probe_sent_us
             self._probe_sent_us = None
@@ -228,9 +237,14 @@
         """
         queued_releases, self.queued_releases = self.queued_releases, {}
         for call_id, queued in queued_releases.items():
-            self.send_release(call_id, queued.cause, queued.is_answered)
+            self._send_release(call_id, queued)
             self.router.on_attempt_released(call_id)
 
+    def _send_release(self, call_id: str, release: QueuedRelease) -> None:
+        self.send_release(call_id, release.cause, release.is_answered)
+        self.undelivered_releases.pop(call_id, None)
+        self.undelivered_releases[call_id] = release, self.clock.now_us()
+
     def on_dial_failed(self, failure: DialFailure) -> None:
         """End the queued set-ups, which were never sent, and dial again later."""
         if self.retired:  # it stopped the dial itself
@@ -283,7 +297,7 @@
         A reset alone does not prove that the peer's process died, so it must not end established calls: if the
         process died, the next dials are refused, or the bulletin reports it. A pending set-up may have been
         answered without this router receiving the answer: the peer is sent a release, or it would hold circuits for
-        nobody.
+        nobody. So it is if a release may have been lost with the connection.
         """
         self.connection, self._probe_sent_us = None, None
         self.counts[end.value] += 1
@@ -293,6 +307,9 @@
         pending, self.pending_set_ups = self.pending_set_ups, set()
         if end is not ConnectionEnd.CLOSED:
             log.warning("connection to a peer ended", peer=self.name, why=end.value, set_ups=len(pending))
+        undelivered, self.undelivered_releases = self.undelivered_releases, {}
+        self.queued_releases |= {call_id: replace(release, may_never_be_sent=is_unresponsive)
+                                 for call_id, (release, _) in undelivered.items()}
         self.queued_releases |= dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive))
         for call_id in pending:
             self.router.on_ended(self.name, call_id, AttemptEnd(self.connection_lost_outcome))
@@ -356,7 +373,7 @@
         self.pending_set_ups.discard(call_id)
         if self.connection is not None:
             self.counts["peer_releases_sent"] += 1
-            self.send_release(call_id, cause, answered)
+            self._send_release(call_id, QueuedRelease(cause, answered))
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
             self.queued_releases[call_id] = QueuedRelease(cause, answered)
             self.dial()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from astertrack.core import NORMAL_CLEARING, AttemptEnd
+from astertrack.net.caller_releases import MAX_PENDING, RETENTION_US
 from astertrack.net.callers import IDLE_TIMEOUT_US, MESSAGE_TIMEOUT_US, SWEEP_INTERVAL_US, WRITE_BLOCKED_TIMEOUT_US
 from astertrack.wire import sip
 from ospreylug import interface as io
@@ -242,9 +243,9 @@
         harness.router_harness.peer_by_call[FIRST_CALL], FIRST_CALL, AttemptEnd(io.Outcome.OK))
     harness.pass_time(1)
     assert released_calls(first_transport) == [FIRST_CALL]  # no caller has ever confirmed one: they are not obliged to
-    assert not harness.front.pending_releases
+    assert not harness.front.releases.pending
     first.dataReceived(RELEASE_CONFIRMATION)
-    harness.front.release(FIRST_CALL, NORMAL_CLEARING, first)
+    harness.front.releases.release(FIRST_CALL, NORMAL_CLEARING, first)
     harness.pass_time(1)
     assert released_calls(first_transport) == [FIRST_CALL, FIRST_CALL]
     assert released_calls(other_transport) == [FIRST_CALL]
@@ -252,9 +253,62 @@
 
 def test_a_release_without_a_connection_with_answered_calls_waits_for_any_connection_briefly() -> None:
     harness = SipFrontHarness()
-    harness.front.release(FIRST_CALL, NORMAL_CLEARING)
+    harness.front.releases.release(FIRST_CALL, NORMAL_CLEARING)
     harness.pass_time(2)
     connection, transport = harness.connect()
     connection.dataReceived(PING)
     harness.pass_time(0.5)
     assert released_calls(transport) == [FIRST_CALL]
+
+
+def test_a_release_never_goes_to_a_connection_without_a_whole_message() -> None:
+    # Guards against docs/incidents/8: releases went to a crowd that never finished a request, and were forgotten.
+    harness = SipFrontHarness()
+    front, front_transport = harness.connect()
+    front.dataReceived(PING)
+    crowd = [harness.connect() for _ in range(20)]
+    for member, _ in crowd:
+        member.dataReceived(PING[:20])
+    harness.front.releases.release(FIRST_CALL, NORMAL_CLEARING)
+    harness.pass_time(1)
+    assert released_calls(front_transport) == [FIRST_CALL]
+    assert not any(released_calls(transport) for _, transport in crowd)
+
+
+def test_a_release_on_a_doubtful_connection_is_repeated_where_a_call_was_answered() -> None:
+    # Guards against docs/incidents/8: a release counted as received wherever it was sent.
+    harness = SipFrontHarness()
+    doubtful, doubtful_transport = harness.connect()
+    doubtful.dataReceived(PING)
+    harness.front.releases.release(FIRST_CALL, NORMAL_CLEARING)
+    harness.pass_time(1)
+    assert released_calls(doubtful_transport) == [FIRST_CALL]
+    _, answered_transport = connect_and_establish(harness, SECOND_CALL)
+    harness.pass_time(1)
+    assert released_calls(answered_transport) == [FIRST_CALL]
+    harness.pass_time(1)
+    assert not harness.front.releases.pending
+    assert released_calls(doubtful_transport) == [FIRST_CALL]
+
+
+def test_a_release_does_not_go_to_a_connection_with_an_invalid_set_up() -> None:
+    harness = SipFrontHarness()
+    front, front_transport = harness.connect()
+    front.dataReceived(PING)
+    invalid, invalid_transport = harness.connect()
+    invalid.dataReceived(make_invite(SECOND_CALL, class_name="unheard-of"))
+    harness.front.releases.release(FIRST_CALL, NORMAL_CLEARING)
+    harness.pass_time(1)
+    assert released_calls(front_transport) == [FIRST_CALL]
+    assert not released_calls(invalid_transport)
+
+
+def test_releases_without_a_connection_are_bounded_in_number_and_time() -> None:
+    harness = SipFrontHarness()
+    for number in range(MAX_PENDING + 5):
+        harness.front.releases.release(f"{number:016x}", NORMAL_CLEARING)
+    assert len(harness.front.releases.pending) == MAX_PENDING
+    assert next(iter(harness.front.releases.pending)) == f"{5:016x}"
+    harness.pass_time(RETENTION_US / 1e6 + 1)
+    assert not harness.front.releases.pending
+    assert harness.counts["sip_releases_dropped"] == MAX_PENDING + 5
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -29,6 +29,7 @@
     MAX_UNRESPONSIVE_TIMEOUT_US,
     PEER_LOST_TIMEOUT_US,
     RECONNECT_INTERVAL_US,
+    RELEASE_DELIVERY_US,
     UNRESPONSIVE_TIMEOUT_US,
 )
 from astertrack.net.partial import STALLED_MESSAGE_TIMEOUT_US
@@ -329,6 +330,34 @@
     assert peer.router_harness.finals == {FIRST_CALL: 1}
 
 
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_release_on_a_connection_that_is_lost_is_sent_again_on_the_next(is_silent: bool) -> None:
+    # Guards against docs/incidents/8: it was sent on a connection that did not carry it, and the call stood on.
+    peer = connected_peer(FIRST_CALL)
+    peer.send_answer(FIRST_CALL)
+    peer.pass_time(200_000)
+    assert peer.router.release_call(FIRST_CALL, 16)
+    if is_silent:
+        peer.pass_time(UNRESPONSIVE_TIMEOUT_US)
+        assert peer.transports[0].aborted
+    else:
+        peer.connection.connectionLost(cast(Any, Failure)(ConnectionLost()))
+    peer.connect()
+    assert peer.sent_messages() == [(wire.MessageType.RELEASE, FIRST_CALL)]
+
+
+def test_a_release_that_was_delivered_is_not_sent_again() -> None:
+    peer = connected_peer(FIRST_CALL)
+    peer.send_answer(FIRST_CALL)
+    assert peer.router.release_call(FIRST_CALL, 16)
+    peer.pass_time(RELEASE_DELIVERY_US)
+    peer.send(wire.MessageType.GROUP_STATE, "0" * 16, {wire.Parameter.REPORT: b"x0:12;x1:40;eps:0"})
+    peer.connection.connectionLost(cast(Any, Failure)(ConnectionLost()))
+    peer.pass_time(RECONNECT_INTERVAL_US)
+    peer.connect()
+    assert not peer.sent_messages()
+
+
 def test_a_release_waits_between_two_dials_as_well() -> None:
     peer = connected_peer(FIRST_CALL)
     peer.connection.connectionLost(cast(Any, Failure)(ConnectionLost()))
