Limit what one connection may ask, so that it delays no other caller and fills nothing

Callers saw: beside one sender at full speed for 5 s, up to 100 of 125 of their calls refused, 3 never answered, median delays of up to 3.4 s instead of 24 ms; 115 MB of memory, all 1,024 descriptors, 36 MB of log.

Cause: hundreds of messages were processed in one turn of the reactor, nothing limited the messages or set-ups of a connection, and several lists and the log had no bound.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -38,6 +38,8 @@
 # Fractions of the file descriptors that connections of SIP and of WebSocket callers may hold. Callers in use hold at
 # most a third of all descriptors; the remainder of these fractions is for connections that never send anything.
 SIP_DESCRIPTOR_RATIO, API_DESCRIPTOR_RATIO = 0.625, 0.125
+# Peers beyond this fraction of the descriptors are not taken into the roster, but this many always are.
+PEER_DESCRIPTOR_RATIO, MIN_MAX_PEERS = 0.2, 64
 
 
 class App:
@@ -48,7 +50,8 @@
         self.counts: Counter[str] = Counter()
         self.clock = ReactorClock(reactor)
         self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
-        self.peers = PeerTable(self._make_link, config.settings.home, self.clock)
+        self.peers = PeerTable(self._make_link, config.settings.home, self.clock,
+                               max(MIN_MAX_PEERS, int(config.sockets * PEER_DESCRIPTOR_RATIO)))
         self.parts = load_parts(PartContext(config, reactor, self.clock, self.counts, self.peers))
         policies = [policy for part in self.parts for policy in part.policies()]
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self.store.record,
@@ -113,6 +116,11 @@
         if kind is not io.RosterKind.UPDATE:  # configured destinations belong to every complete list
             endpoints = [*(endpoint for endpoint in endpoints if endpoint.entry.exchange not in self.destination_paths),
                          *self.destinations]
+        known_endpoints = endpoints
+        endpoints = self.peers.admit(endpoints, complete=kind is not io.RosterKind.UPDATE)
+        if len(endpoints) < len(known_endpoints):
+            self.counts["peers_without_room"] += len(known_endpoints) - len(endpoints)
+            log.warning("no room for further peers", room=self.peers.max_links, peers=len(known_endpoints))
         for endpoint in endpoints:
             log.info("peer", name=endpoint.entry.exchange, number=endpoint.entry.number, address=endpoint.address,
                      state=endpoint.entry.readiness.value, started_us=endpoint.entry.started_us)
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -11,6 +11,7 @@
 from astertrack.core import NORMAL_CLEARING, AttemptEnd, Request
 from astertrack.net.base import StreamProtocol
 from astertrack.net.links import Link
+from astertrack.net.pacing import MessagePacer
 from astertrack.net.partial import PartialMessageTimer
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
@@ -32,6 +33,7 @@
         self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
         self._started_us = 0  # of the handshake
         self._partial_timer = PartialMessageTimer(self.websocket, link.clock, self._on_partial_timeout)
+        self._pacer = MessagePacer(self.reading, link.clock, self._on_over_rate, self._on_reading_resumed)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established; the socket is open after the handshake."""
@@ -54,6 +56,7 @@
             return
         if self.websocket.state is not ws.State.CONNECTING:  # a handshake that never completes is no sign of life
             self.link.record_activity()
+        messages_before = self.websocket.message_count
         for event in self.websocket.receive(data):
             match event:
                 case ws.Opened():
@@ -75,6 +78,15 @@
         self.write(self.websocket.take_output())
         if self.websocket.state is not ws.State.CONNECTING:  # the handshake has its own timeout
             self._partial_timer.update()
+        self._pacer.spend(self.websocket.message_count - messages_before)
+
+    def _on_over_rate(self) -> None:
+        self.link.counts["peer_paused_over_rate"] += 1
+        self._partial_timer.cancel()
+
+    def _on_reading_resumed(self) -> None:
+        if self.websocket.state is not ws.State.CONNECTING:
+            self._partial_timer.restart()
 
     def _on_partial_timeout(self) -> None:
         self.link.on_incomplete_message(self)
@@ -89,6 +101,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
         self._partial_timer.cancel()
+        self._pacer.cancel()
         self.link.on_disconnected(self, reason)
 
     def ping(self) -> None:
--- a/astertrack/net/base.py
+++ b/astertrack/net/base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import cached_property
 from typing import Any
 
 from twisted.internet.error import CannotListenError
@@ -11,6 +12,7 @@
 
 from astertrack.config import ConfigError
 from astertrack.core.model import Clock
+from astertrack.net.pacing import READ_BUFFER_BYTES, PauseReason, ReadControl
 
 DEFAULT_BACKLOG = 50  # connections that wait to be accepted
 
@@ -21,13 +23,19 @@
     write_blocked_since_us: int | None = None  # since when the other end has not read; None while it reads
     is_closed = False  # dropped or ended: whatever still arrives on it is ignored
 
+    @cached_property
+    def reading(self) -> ReadControl:
+        """Pauses reading from this connection."""
+        return ReadControl(lambda: self.transport)
+
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established.
 
-        Disables Nagle's algorithm: messages are small and must not be delayed.
+        Disables Nagle's algorithm: messages are small and must not be delayed. Limits what is read at once.
         """
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.bufferSize = READ_BUFFER_BYTES
 
     def write(self, data: bytes) -> None:
         """Write data, if there is any and if there is a connection."""
@@ -58,21 +66,16 @@
     def __init__(self, protocol: StreamProtocol, clock: Clock, on_pause: Callable[[], None]) -> None:
         self.protocol, self.clock, self.on_pause = protocol, clock, on_pause
 
-    def _call_transport(self, method: str) -> None:
-        transport: Any = self.protocol.transport
-        if transport is not None:
-            getattr(transport, method)()
-
     def pauseProducing(self) -> None:
         """Called by Twisted when the write buffer is full."""
         self.protocol.write_blocked_since_us = self.clock.now_us()
         self.on_pause()
-        self._call_transport("pauseProducing")
+        self.protocol.reading.pause(PauseReason.WRITE_BLOCKED)
 
     def resumeProducing(self) -> None:
         """Called by Twisted when the write buffer has been sent."""
         self.protocol.write_blocked_since_us = None
-        self._call_transport("resumeProducing")
+        self.protocol.reading.resume(PauseReason.WRITE_BLOCKED)
 
     def stopProducing(self) -> None:
         """Called by Twisted when the connection has ended."""
--- a/astertrack/net/bulletin.py
+++ b/astertrack/net/bulletin.py
@@ -13,6 +13,7 @@
 
 from astertrack.net.base import StreamProtocol
 from astertrack.net.clock import ReactorClock
+from astertrack.net.pacing import MessagePacer
 from astertrack.net.peers import Endpoint
 from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamProgress, StreamTimeouts
 from astertrack.wire import sse
@@ -60,6 +61,7 @@
     def __init__(self, bulletin: Bulletin, attempt: StreamAttempt) -> None:
         self.bulletin, self.attempt = bulletin, attempt
         self.decoder = sse.EventDecoder()
+        self._pacer = MessagePacer(self.reading, bulletin.streams.clock, self._on_over_rate, self._on_reading_resumed)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established: request what follows the last received event."""
@@ -86,10 +88,19 @@
                 return
         if self.decoder.is_ended:
             self.attempt.drop()
+            return
+        self._pacer.spend(len(events))
+
+    def _on_over_rate(self) -> None:
+        self.bulletin.counts["bulletin_paused_over_rate"] += 1
+
+    def _on_reading_resumed(self) -> None:
+        self.attempt.on_reading_resumed()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
         self.is_closed = True
+        self._pacer.cancel()
         self.attempt.on_closed()
 
 
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -19,6 +19,14 @@
 from astertrack.core.model import Clock
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.caller_releases import CallerReleases, ReleaseConnection, Trust
+from astertrack.net.pacing import (
+    MAX_SET_UPS_PER_S,
+    RETRY_WAIT_US,
+    UNKNOWN_RELEASE_COST,
+    MessagePacer,
+    PauseReason,
+    TokenBucket,
+)
 from astertrack.net.partial import PartialMessage
 from astertrack.wire import sip
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
@@ -26,7 +34,6 @@
 log = structlog.get_logger()
 # SIP response codes (RFC 3261, section 21).
 SERVICE_UNAVAILABLE, SERVER_INTERNAL_ERROR, REQUEST_TERMINATED, BAD_REQUEST = 503, 500, 487, 400
-READ_BUFFER_BYTES = 4096  # read from one connection per reactor iteration: about ten set-ups
 SWEEP_INTERVAL_US = 250_000  # between checks of the connections and of the releases that are not confirmed
 # A connection whose first message, or the message it has begun, is not complete after this time is closed: a caller
 # must get an answer or the close within 3 s of connecting.
@@ -95,15 +102,15 @@
         self.idle_since_us = front.clock.now_us()  # since when no message was completed or sent
         self.partial_message = PartialMessage(self.sip_connection, self.idle_since_us)
         self.closing_since_us: int | None = None
+        self.pacer = MessagePacer(self.reading, front.clock, self._on_over_rate, self._on_reading_resumed)
+        self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.idle_since_us)
         self.has_sent_message = self.has_sent_invalid_message = False
         self.has_answered_call = False  # one of the caller's calls was answered
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
         super().connectionMade()
-        # Responses are sent at the end of a reactor iteration: in a burst, reads of 64 KiB delayed them too long.
         transport: Any = self.transport
-        transport.bufferSize = READ_BUFFER_BYTES
         transport.registerProducer(BackpressureProducer(self, self.front.clock, self._on_pause), True)
         self.counts["sip_connections"] += 1
         self.front.connections[self] = None
@@ -133,6 +140,12 @@
     def _on_pause(self) -> None:
         self.counts["sip_pauses"] += 1
 
+    def _on_over_rate(self) -> None:
+        self.counts["sip_paused_over_rate"] += 1
+
+    def _on_reading_resumed(self) -> None:
+        self.partial_message.restart(self.front.clock.now_us())
+
     @property
     def trust(self) -> Trust:
         """How likely it is that a caller receives what is sent here."""
@@ -152,6 +165,7 @@
         """
         self.front.connections.pop(self, None)
         self.front.open_descriptors -= 1
+        self.pacer.cancel()
         for call_id in list(self.sip_connection.pending_invites):
             del self.sip_connection.pending_invites[call_id]
             self.router.cancel(call_id)
@@ -167,6 +181,8 @@
             self.abort()
         elif not self.has_sent_message and now_us - self.idle_since_us > MESSAGE_TIMEOUT_US:
             self._refuse_and_close("sip_closed_silent")
+        elif self.reading.is_paused_for(PauseReason.OVER_RATE):
+            pass  # nothing is read, so no message can be completed
         elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self._refuse_and_close("sip_closed_half_sent")
         elif (not self.sip_connection.pending_invites and now_us - self.idle_since_us > IDLE_TIMEOUT_US
@@ -185,11 +201,17 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
+        if self.closing_since_us is None:
+            self.pacer.spend(self._process(data))
+
+    def _process(self, data: bytes) -> int:
+        """Process received bytes; return the number of messages that they cost."""
         if self.closing_since_us is not None:
-            return
+            return 0
         messages_before = self.sip_connection.message_count
         events = self.sip_connection.receive(data)
-        message_completed = self.sip_connection.message_count > messages_before
+        message_count = self.sip_connection.message_count - messages_before
+        message_completed = message_count > 0
         now = self.front.clock.now_us()
         self.partial_message.update(now)
         if message_completed:
@@ -206,6 +228,8 @@
                         self.sip_connection.reject(call_id, REQUEST_TERMINATED)
                 case sip.CallReleased(call_id, cause):
                     self.counts["sip_hung_up"] += 1
+                    if self.router.is_unknown(call_id):
+                        message_count += UNKNOWN_RELEASE_COST - 1
                     self.router.release_call(call_id, cause)
                 case sip.Acknowledged():
                     self.counts["sip_acknowledged"] += 1
@@ -216,9 +240,14 @@
                     log.warning("malformed data from a caller", reason=reason)
                     self._refuse_and_close("sip_malformed")
         self._flush()
+        return message_count
 
     def _on_set_up(self, event: sip.SetUp) -> None:
         self.counts["sip_set_ups"] += 1
+        if not self.set_up_bucket.take(self.front.clock.now_us()):
+            self.counts["sip_refused_over_rate"] += 1
+            self.on_refused(event.call, RETRY_WAIT_US)
+            return
         service = self.front.classes.get(event.class_name, -1)
         request = self._make_request(event, service) if service >= 0 else None
         if request is None:
--- a/astertrack/net/control.py
+++ b/astertrack/net/control.py
@@ -98,7 +98,7 @@
             transport.pauseProducing()
         else:
             transport.resumeProducing()
-            self.attempt.restart_silence_timer()
+            self.attempt.on_reading_resumed()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
--- a/astertrack/net/partial.py
+++ b/astertrack/net/partial.py
@@ -44,6 +44,11 @@
             self.since_us = now_us
         self._message_count = self._decoder.message_count
 
+    def restart(self, now_us: int) -> None:
+        """Begin the time anew, after a time in which the router itself did not read."""
+        if self.since_us is not None:
+            self.since_us = now_us
+
     def is_older_than(self, timeout_us: int, now_us: int) -> bool:
         """Return whether a message has been incomplete for longer than a timeout."""
         return self.since_us is not None and now_us - self.since_us > timeout_us
@@ -66,6 +71,11 @@
             due_us = min(now + STALLED_MESSAGE_TIMEOUT_US, self._partial.since_us + INCOMPLETE_MESSAGE_TIMEOUT_US)
             self._timer = self._clock.call_at(due_us, self._on_timeout)
 
+    def restart(self) -> None:
+        """Begin the time anew, after a time in which the router itself did not read."""
+        self._partial.restart(self._clock.now_us())
+        self.update()
+
     def cancel(self) -> None:
         """Stop the timer; called when the connection has ended."""
         if self._timer is not None:
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -15,6 +16,7 @@
 from astertrack.core.model import Clock, Timer
 from astertrack.net.base import StreamProtocol
 from astertrack.net.links import LIVENESS_CHECK_INTERVAL_US, Link
+from astertrack.net.pacing import MessagePacer
 from astertrack.net.partial import PartialMessageTimer
 from astertrack.wire import peer as wire
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
@@ -51,6 +53,7 @@
         self.link = link
         self.decoder = wire.MessageDecoder()
         self._partial_timer = PartialMessageTimer(self.decoder, link.clock, self._on_partial_timeout)
+        self._pacer = MessagePacer(self.reading, link.clock, self._on_over_rate, self._partial_timer.restart)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
@@ -62,7 +65,8 @@
         if self.is_closed:
             return
         self.link.record_activity()
-        for message in self.decoder.receive(data):
+        messages = self.decoder.receive(data)
+        for message in messages:
             try:
                 if isinstance(message, Malformed):
                     raise MalformedError(message.reason)
@@ -83,6 +87,11 @@
             if self.is_closed:
                 return
         self._partial_timer.update()
+        self._pacer.spend(len(messages))
+
+    def _on_over_rate(self) -> None:
+        self.link.counts["peer_paused_over_rate"] += 1
+        self._partial_timer.cancel()
 
     def _on_partial_timeout(self) -> None:
         self.link.on_incomplete_message(self)
@@ -90,6 +99,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
         self._partial_timer.cancel()
+        self._pacer.cancel()
         self.link.on_disconnected(self, reason)
 
 
@@ -179,8 +189,9 @@
 class PeerTable:
     """The links to all peers, by name. Implements the Peers port of the core."""
 
-    def __init__(self, make_link: Callable[[Endpoint], Link], home: int, clock: Clock) -> None:
-        self.make_link, self.home, self.clock = make_link, home, clock
+    def __init__(self, make_link: Callable[[Endpoint], Link], home: int, clock: Clock,
+                 max_links: int = sys.maxsize) -> None:
+        self.make_link, self.home, self.clock, self.max_links = make_link, home, clock, max_links
         self.links: dict[str, Link] = {}
         self._next_check_us = clock.now_us() + LIVENESS_CHECK_INTERVAL_US
         clock.call_at(self._next_check_us, self._check_liveness)
@@ -198,6 +209,18 @@
         self._next_check_us = now + LIVENESS_CHECK_INTERVAL_US
         self.clock.call_at(self._next_check_us, self._check_liveness)
 
+    def admit(self, endpoints: list[Endpoint], complete: bool) -> list[Endpoint]:
+        """Return the endpoints without the new peers for which there is no room: each link holds a descriptor."""
+        room = self.max_links - (0 if complete else len(self.links))
+        admitted = []
+        for endpoint in endpoints:
+            is_new = endpoint.entry.readiness is not io.Readiness.GONE and (
+                complete or endpoint.entry.exchange not in self.links)
+            if not is_new or room > 0:
+                admitted.append(endpoint)
+                room -= is_new
+        return admitted
+
     def update(self, endpoints: list[Endpoint], complete: bool) -> None:
         """Apply a change of the roster; a complete list also removes the peers that it does not name.
 
--- a/astertrack/net/streams.py
+++ b/astertrack/net/streams.py
@@ -141,6 +141,11 @@
             self.connector.stopConnecting()
         self._streams.on_ended(self)
 
+    def on_reading_resumed(self) -> None:
+        """Called after a time in which the router itself did not read."""
+        if self.phase is AttemptPhase.OPEN:
+            self.restart_silence_timer()
+
     def restart_silence_timer(self) -> None:
         """Restart the timer that drops the stream when nothing is received."""
         self.set_timer(self._streams.silence_timeout_us, lambda: self._streams.on_silent(self))
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import Counter
 from dataclasses import dataclass, replace
 
@@ -17,13 +18,21 @@
 from astertrack.core import Request, Router
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.clock import ReactorClock
+from astertrack.net.ended_calls import EndedCalls
+from astertrack.net.pacing import (
+    MAX_SET_UPS_PER_S,
+    RETRY_WAIT_US,
+    UNKNOWN_RELEASE_COST,
+    MessagePacer,
+    PauseReason,
+    TokenBucket,
+)
 from astertrack.net.partial import PartialMessage
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
 from astertrack.wire.common import Malformed
 
 log = structlog.get_logger()
-ENDED_CALL_RETENTION_US = 60_000_000  # how long the end of a call is kept for clients that ask for it
 SWEEP_INTERVAL_US = 5_000_000  # between removals of ended calls
 PING_IDLE_US = 20_000_000  # a ping is sent after this time without received bytes
 UNRESPONSIVE_TIMEOUT_US = 60_000_000  # a connection is closed after this time without received bytes
@@ -44,13 +53,19 @@
 
     connection: ClientConnection | None
     last_message: api.Message
-    set_up: api.SetUp | None  # None: unknown, since the call was set up before a restart, and has ended after it
-    ended_us: int | None = None  # None: in progress or established
+    # Of the set-up; None: unknown, since the call was set up before a restart, and has ended after it.
+    digest: bytes | None
+    is_ended: bool = False
 
     def has_other_fields(self, set_up: api.SetUp) -> bool:
         """Return whether a set-up with the same id is for a different call: any field but two differs."""
-        return self.set_up is not None and (
-            replace(set_up, deadline=0, new_id=False) != replace(self.set_up, deadline=0, new_id=False))
+        return self.digest is not None and digest_of(set_up) != self.digest
+
+
+def digest_of(set_up: api.SetUp) -> bytes:
+    """Return a digest of all fields but two, which may differ in a repeated set-up."""
+    text = api.encode_message(replace(set_up, deadline=0, new_id=False))
+    return hashlib.blake2b(text.encode(), digest_size=16).digest()
 
 
 class ApiFront(Factory):
@@ -62,6 +77,7 @@
         self.max_connections = min(max_connections, MAX_CONNECTIONS)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[str, ApiCall] = {}
+        self.ended_calls = EndedCalls(self._forget)
         # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
         self.resumed_orphans: dict[str, ClientConnection] = {}
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -75,15 +91,16 @@
         return ClientConnection(self)
 
     def _sweep(self) -> None:
-        """Remove the calls whose retention period has expired."""
+        """Forget the calls whose retention period has expired."""
         now = self.clock.now_us()
-        expiry_us = now - ENDED_CALL_RETENTION_US
-        for call_id in [n for n, c in self.calls.items() if c.ended_us is not None and c.ended_us <= expiry_us]:
-            connection = self.calls.pop(call_id).connection
-            if connection is not None:
-                connection.call_ids.discard(call_id)
+        self.ended_calls.expire(now)
         self.clock.call_at(now + SWEEP_INTERVAL_US, self._sweep)
 
+    def _forget(self, call_id: str) -> None:
+        connection = self.calls.pop(call_id).connection
+        if connection is not None:
+            connection.call_ids.discard(call_id)
+
     def _check_connections(self) -> None:
         """Close connections that are unresponsive or do not complete a message."""
         now = self.clock.now_us()
@@ -108,7 +125,7 @@
 
     def _on_set_up(self, connection: ClientConnection, set_up: api.SetUp, call: ApiCall | None) -> None:
         # A router that has restarted releases an id at its destinations before it sends the set-up.
-        is_new = set_up.new_id and call is not None and call.set_up is None
+        is_new = set_up.new_id and call is not None and call.digest is None
         if call is None or is_new:
             self._set_up(connection, set_up)
         elif call.has_other_fields(set_up):
@@ -141,13 +158,14 @@
         call_id = release.id
         if call is None and not self.router.is_unknown(call_id):  # it ended long ago, or is another caller's
             raise api.InvalidMessageError("unknown-call", "no such call", call_id)
-        if call is not None and call.ended_us is not None:
+        if call is not None and call.is_ended:
             connection.send_message(call.last_message)
         elif not self.router.release_call(call_id, release.cause):
             raise api.InvalidMessageError("not-standing", "the call is not answered: cancel it", call_id)
         elif call is not None:
             self._update_call(call_id, api.Released(call_id, release.cause))
         else:  # set up before a restart
+            connection.pacer.spend(UNKNOWN_RELEASE_COST - 1)
             self._end_orphan(call_id, release.cause, connection)
 
     def _on_cancel(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
@@ -180,9 +198,19 @@
         if message.id in self.router.calls:
             raise api.InvalidMessageError("id-in-use", "another caller's call has this id", message.id)
         now = self.router.now_us()
+        if not connection.set_up_bucket.take(now):
+            # It is not remembered: a repeat is a new set-up, and nothing was sent to a peer.
+            self.counts["ws_refused_over_rate"] += 1
+            connection.send_message(api.Refused(message.id, RETRY_WAIT_US // 1000, "over-rate"))
+            return
+        if self.ended_calls.may_have_forgotten(now) and not self.router.is_unknown(message.id):
+            # Its end may be forgotten already: it must not be set up a second time.
+            connection.send_message(api.Refused(message.id, RETRY_WAIT_US // 1000, "id-used"))
+            return
+        self.ended_calls.remove(message.id)
         max_deadline_us = now + self.router.settings.classes[service].deadline_us
         self.counts["ws_set_ups"] += 1
-        self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), message)
+        self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), digest_of(message))
         connection.call_ids.add(message.id)
         self.resumed_orphans.pop(message.id, None)
         self.router.offer(Request(
@@ -217,7 +245,8 @@
             return
         call.last_message = message
         if isinstance(message, ENDING_MESSAGES):
-            call.ended_us = self.clock.now_us()
+            call.is_ended = True
+            self.ended_calls.add(call_id, self.clock.now_us())
         if call.connection is not None:
             call.connection.send_message(message)
 
@@ -250,6 +279,8 @@
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
         self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
+        self.pacer = MessagePacer(self.reading, front.clock, self._on_over_rate, self._on_reading_resumed)
+        self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.last_received_us)
         self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
         self.ping_sent = self.is_receiving = False  # is_receiving: output is written once, after all input
 
@@ -264,14 +295,26 @@
     def _on_pause(self) -> None:
         self.counts["ws_pauses"] += 1
 
+    def _on_over_rate(self) -> None:
+        self.counts["ws_paused_over_rate"] += 1
+
+    def _on_reading_resumed(self) -> None:
+        self.partial_message.restart(self.front.clock.now_us())
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
+        self.pacer.cancel()
         self.front.on_closed(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
+        self.pacer.spend(self._process(data))
+
+    def _process(self, data: bytes) -> int:
+        """Process received bytes; return the number of messages that they completed."""
         self.last_received_us = now = self.front.clock.now_us()
         self.ping_sent, self.is_receiving = False, True
+        messages_before = self.websocket.message_count
         events = self.websocket.receive(data)
         self.partial_message.update(now)
         for event in events:
@@ -286,6 +329,7 @@
                     self.close()
         self.is_receiving = False
         self.write(self.websocket.take_output())
+        return self.websocket.message_count - messages_before
 
     def _on_text(self, raw: str) -> None:
         try:
@@ -306,6 +350,8 @@
                          and now_us - self.write_blocked_since_us > WRITE_BLOCKED_TIMEOUT_US)
         if write_blocked or now_us - self.last_received_us > UNRESPONSIVE_TIMEOUT_US:
             self.abort()
+        elif self.reading.is_paused_for(PauseReason.OVER_RATE):
+            pass  # nothing is read, so no message can be completed
         elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self.counts["ws_closed_half_sent"] += 1
             self.abort()
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -149,6 +149,6 @@
                 self._name = value
             elif name == "data":
                 self._data.append(value)
-                self._data_chars += len(value)
+                self._data_chars += len(value) + 1  # with the line end, so that empty lines count, too
                 if self._data_chars > self._max_event_bytes:
                     raise MalformedError("event too long")
--- a/laboratory/stand_ins.py
+++ b/laboratory/stand_ins.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import sys
 import tempfile
@@ -24,7 +25,7 @@
 from astertrack.wire import peer, sip
 
 ROOT = Path(__file__).resolve().parent.parent
-GROUP_CIRCUITS = 100  # in the trunk group of a stand-in exchange
+GROUP_CIRCUITS = 100  # in the trunk group of a stand-in exchange, unless it has another number
 MAX_WAIT_S = 20.0  # for any wait in this package's helpers
 
 # The settings in the router's configuration file.
@@ -105,6 +106,8 @@
 class BinaryNode(Node):
     """A stand-in exchange that speaks the platform's binary protocol."""
 
+    circuits = GROUP_CIRCUITS
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it or the event loop ends."""
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):  # cancelled when the event loop ends
@@ -128,7 +131,7 @@
         engaged_circuits = sum(count > 0 for count in self.active_calls.values())
         self.send_message(writer, peer.MessageType.GROUP_STATE, "0" * 16, {
             peer.Parameter.REPORT:
-                f"x0:{max(0, GROUP_CIRCUITS - engaged_circuits)};x1:{GROUP_CIRCUITS};eps:0".encode()})
+                f"x0:{max(0, self.circuits - engaged_circuits)};x1:{self.circuits};eps:0".encode()})
 
     def free_circuit(self, call: str, writer: asyncio.StreamWriter) -> None:
         """Free the circuit of a call, if it has one."""
@@ -274,7 +277,7 @@
         self.task = asyncio.get_running_loop().create_task(self.read())
 
     @classmethod
-    async def connect(cls, port: int) -> SipCaller:
+    async def connect(cls, port: int) -> Self:
         """Connect to the router's SIP port on loopback."""
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
@@ -323,7 +326,7 @@
         self.task = asyncio.get_running_loop().create_task(self.read())
 
     @classmethod
-    async def connect(cls, port: int) -> ApiCaller:
+    async def connect(cls, port: int) -> Self:
         """Connect to the router's WebSocket port on loopback, and wait for the handshake."""
         caller = cls(*await asyncio.open_connection("127.0.0.1", port))
         await with_timeout(caller.opened.wait())
@@ -410,12 +413,13 @@
 @contextlib.asynccontextmanager
 async def running_router(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
                          gateway: str = "", bulletin: str = "", versions: str = "",
-                         module: str = "astertrack") -> AsyncIterator[RouterProcess]:
+                         module: str = "astertrack", limits: dict[str, float] | None = None,
+                         ) -> AsyncIterator[RouterProcess]:
     """Run the program between stand-in exchanges, given by exchange number, and stop all of them at the end.
 
     gateway is text to put at the head of gateway.toml, bulletin the address of the bulletin service, versions the text
-    of versions.toml, and module the Python module to start. Fails with the log's text if the program ends before it
-    serves.
+    of versions.toml, module the Python module to start, and limits the platform's limits, of which that of descriptors
+    is set for the process, too. Fails with the log's text if the program ends before it serves.
     """
     sip_port, api_port = free_port(), free_port()
     with tempfile.TemporaryDirectory() as folder:
@@ -423,7 +427,7 @@
                       "group": number, "status": "in_service", "weight": 1, "since_ms": 0}
                      for number, node in nodes.items()]
         config = {"name": "n0", "listen": f"127.0.0.1:{sip_port}", "seed": "1f", "bulletin": bulletin,
-                  "known": {"no": 1, "items": [{"no": 1, "roster": {
+                  "limits": limits or {}, "known": {"no": 1, "items": [{"no": 1, "roster": {
                       "index": 1, "snapshot": True, "endpoints": endpoints}}]}, "settings": SETTINGS}
         directory = Path(folder)
         (directory / "config.json").write_text(json.dumps(config))
@@ -444,6 +448,8 @@
         try:
             await wait_until(lambda: process.returncode is not None or "event=serving" in log_path.read_text())
             assert process.returncode is None, log_path.read_text()
+            if limits is not None:
+                resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (int(limits["sockets"]), int(limits["sockets"])))
             yield RouterProcess(process, sip_port, api_port, log_path)
         finally:
             if process.returncode is None:
--- a/tests/test_call_front.py
+++ b/tests/test_call_front.py
@@ -68,7 +68,7 @@
     with pytest.raises(api.InvalidMessageError):
         front.on_request(connection, api.SetUp("1" * 16, "ledger-read", "5", 1, now_ms + 3000, description="other"))
     front.on_request(connection, api.SetUp("1" * 16, "ledger-read", "5", 1, now_ms + 3000))  # a repeat
-    assert front.calls["1" * 16].set_up is set_up
+    assert not front.calls["1" * 16].has_other_fields(set_up)
     assert front.counts["ws_set_ups"] == 1
 
 
