Drop the set-ups of a client that has left, and set no id up twice

Cause: a close is read behind all bytes before it, and the router sent each set-up on as it read it. After the close it knew nothing of the ids any more.

Change: what waits in a socket is moved to a bounded queue first, and the state of the connection (TCP_INFO) is asked before each piece is processed; set-ups of a client that has left are dropped. The ids of calls that were sent to a peer are remembered for 60 s, and one that comes again is refused.

--- a/astertrack/core/history.py
+++ b/astertrack/core/history.py
@@ -10,6 +10,8 @@
 HASHES_PER_ID = 3
 HASH_BITS = 21  # of the filter's index
 MAX_IDS_PER_GENERATION = 100_000
+RETENTION_US = 60_000_000  # of the ids of calls that were sent to a peer
+MAX_RECENT_ATTEMPTS = 20_000  # a minute of the highest rate of set-ups of one connection; about 3 MB
 
 
 class _BloomFilter:
@@ -37,6 +39,31 @@
         return all(self._bits[position >> 3] & 1 << (position & 7) for position in self._positions(id))
 
 
+class RecentAttempts:
+    """The ids of calls that were sent to a peer within the last RETENTION_US; the latest MAX_RECENT_ATTEMPTS at most.
+
+    Unlike CallHistory it is exact: a new call is never taken for one of these.
+    """
+
+    def __init__(self) -> None:
+        self._sent_us: dict[str, int] = {}  # by call id, the oldest first
+
+    def add(self, call_id: str, now_us: int) -> None:
+        """Remember that a set-up of a call was sent."""
+        self._sent_us.pop(call_id, None)
+        self._sent_us[call_id] = now_us
+        while len(self._sent_us) > MAX_RECENT_ATTEMPTS or self._oldest_us() <= now_us - RETENTION_US:
+            del self._sent_us[next(iter(self._sent_us))]
+
+    def _oldest_us(self) -> int:
+        return next(iter(self._sent_us.values()))
+
+    def contains(self, call_id: str, now_us: int) -> bool:
+        """Return whether a set-up of the call was sent within the retention time."""
+        sent_us = self._sent_us.get(call_id)
+        return sent_us is not None and now_us - sent_us < RETENTION_US
+
+
 class CallHistory:
     """Remembers at least the latest MAX_IDS_PER_GENERATION ids of calls, in memory of a fixed size.
 
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -13,7 +13,7 @@
 from astertrack.core.calls import Attempt, Call
 from astertrack.core.circuits import CircuitEstimates
 from astertrack.core.gate import Admission, Gate, Refusal
-from astertrack.core.history import CallHistory
+from astertrack.core.history import CallHistory, RecentAttempts
 from astertrack.core.model import (
     NORMAL_CLEARING,
     TEMPORARY_FAILURE,
@@ -67,7 +67,7 @@
         self.circuits = CircuitEstimates()
         self.counts: Counter[str] = counts if counts is not None else Counter()
         self.gate = gate if gate is not None else Gate((), log, self.counts)
-        self._history = CallHistory()
+        self._history, self._recent_attempts = CallHistory(), RecentAttempts()
         longest_hold_us = max(service.hold_us for service in settings.classes)
         self._orphan_window_end_us = clock.now_us() + max(MIN_ORPHAN_WINDOW_US, ORPHAN_HOLDING_TIMES * longest_hold_us)
         self._events: deque[io.Event] = deque()
@@ -81,8 +81,13 @@
         if request.call_id in self.calls:
             self.counts["offers_repeated"] += 1
             return False
-        self._history.add(request.call_id)
         now = self.now_us()
+        if self._recent_attempts.contains(request.call_id, now):
+            # Its caller left and came again, or has used the id twice: a second attempt would run a second time.
+            self.counts["offers_run_before"] += 1
+            caller.on_refused(request.call_id, RETRY_WAIT_US)
+            return True
+        self._history.add(request.call_id)
         if request.release_first:  # also if the call is refused below: its caller must not be told so while it stands
             self._release_at_all_peers(request.call_id, NORMAL_CLEARING)
         call = self.calls[request.call_id] = Call(request, caller, now, request.deadline_us - ANSWER_MARGIN_US)
@@ -335,6 +340,7 @@
         call.attempt = attempt = Attempt(attempt_number, peer, now)
         self.calls_by_peer.setdefault(peer, {})[call_id] = call
         self.counts["attempts_sent"] += 1
+        self._recent_attempts.add(call_id, now)
         if call.admission is not None:
             call.admission.notify_sent(call.request, entry, now)
         attempt.timer = self.clock.call_at(deadline_us, lambda: self._on_attempt_timeout(call, attempt))
--- a/astertrack/net/base.py
+++ b/astertrack/net/base.py
@@ -12,6 +12,7 @@
 
 from astertrack.config import ConfigError
 from astertrack.core.model import Clock
+from astertrack.net import tcp_states
 from astertrack.net.pacing import READ_BUFFER_BYTES, PauseReason, ReadControl
 
 DEFAULT_BACKLOG = 50  # connections that wait to be accepted
@@ -36,6 +37,14 @@
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         transport.bufferSize = READ_BUFFER_BYTES
+        tcp_states.note_connected(transport)
+
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the other end has closed or reset the connection, also while bytes from it are unread.
+
+        Returns False where the system does not tell.
+        """
+        return tcp_states.is_closed(self.transport)
 
     def write(self, data: bytes) -> None:
         """Write data, if there is any and if there is a connection."""
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -19,12 +19,11 @@
 from astertrack.core.model import Clock
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.caller_releases import CallerReleases, ReleaseConnection, Trust
+from astertrack.net.input_queue import InputQueue, QueueBudget
 from astertrack.net.pacing import (
     MAX_SET_UPS_PER_S,
     RETRY_WAIT_US,
     UNKNOWN_RELEASE_COST,
-    MessagePacer,
-    PauseReason,
     TokenBucket,
 )
 from astertrack.net.partial import PartialMessage
@@ -56,6 +55,7 @@
             router, clock, classes, counts, max_connections)
         self.connections: dict[CallerConnection, None] = {}  # the one that has been idle for longest first
         self.releases = CallerReleases(cast(dict[ReleaseConnection, None], self.connections), clock, counts)
+        self.queue_budget = QueueBudget()
         # A connection that was evicted keeps its descriptor until the next iteration of the reactor.
         self.open_descriptors = 0
         clock.call_at(clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -102,7 +102,8 @@
         self.idle_since_us = front.clock.now_us()  # since when no message was completed or sent
         self.partial_message = PartialMessage(self.sip_connection, self.idle_since_us)
         self.closing_since_us: int | None = None
-        self.pacer = MessagePacer(self.reading, front.clock, self._on_over_rate, self._on_reading_resumed)
+        self.input = InputQueue(self, front.clock, front.queue_budget, self._process, self._on_over_rate,
+                                self._on_reading_resumed)
         self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.idle_since_us)
         self.has_sent_message = self.has_sent_invalid_message = False
         self.has_answered_call = False  # one of the caller's calls was answered
@@ -117,11 +118,13 @@
         self.front.open_descriptors += 1
 
     def has_unread_bytes(self) -> bool:
-        """Return whether received bytes wait in the socket's buffer.
+        """Return whether received bytes wait in the socket's buffer or in the queue.
 
         They may be a set-up that a busy router has not read yet. Closing the connection now would lose it: callers
         repeat a set-up only if it crosses the close within 50 ms.
         """
+        if len(self.input):
+            return True
         socket = getattr(self.transport, "socket", None)
         try:
             return socket is not None and bool(socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
@@ -165,7 +168,7 @@
         """
         self.front.connections.pop(self, None)
         self.front.open_descriptors -= 1
-        self.pacer.cancel()
+        self.input.clear()
         for call_id in list(self.sip_connection.pending_invites):
             del self.sip_connection.pending_invites[call_id]
             self.router.cancel(call_id)
@@ -181,8 +184,8 @@
             self.abort()
         elif not self.has_sent_message and now_us - self.idle_since_us > MESSAGE_TIMEOUT_US:
             self._refuse_and_close("sip_closed_silent")
-        elif self.reading.is_paused_for(PauseReason.OVER_RATE):
-            pass  # nothing is read, so no message can be completed
+        elif self.input.is_over_rate():
+            self.input.check_left()
         elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self._refuse_and_close("sip_closed_half_sent")
         elif (not self.sip_connection.pending_invites and now_us - self.idle_since_us > IDLE_TIMEOUT_US
@@ -202,9 +205,9 @@
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
         if self.closing_since_us is None:
-            self.pacer.spend(self._process(data))
+            self.input.receive(data)
 
-    def _process(self, data: bytes) -> int:
+    def _process(self, data: bytes, has_left: bool) -> int:
         """Process received bytes; return the number of messages that they cost."""
         if self.closing_since_us is not None:
             return 0
@@ -219,6 +222,9 @@
             self._mark_active(now)
         for event in events:
             match event:
+                case sip.SetUp() if has_left:
+                    self.counts["sip_set_ups_abandoned"] += 1
+                    del self.sip_connection.pending_invites[event.call]
                 case sip.SetUp():
                     self._on_set_up(event)
                 case sip.CallCancelled(call_id):
--- /dev/null
+++ b/astertrack/net/input_queue.py
@@ -0,0 +1,121 @@
+"""Reads ahead of what a client's connection has processed, so that a client that has left is noticed.
+
+A close is only received behind all bytes that were sent before it, and those are processed a little at a time, between
+the other connections. What waits in the socket is therefore moved to a bounded queue first. Then the state of the
+connection tells whether the client is still there, before any of its requests is processed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from socket import MSG_DONTWAIT
+from typing import TYPE_CHECKING, Any
+
+from astertrack.core.model import Clock, Timer
+from astertrack.net.pacing import READ_BUFFER_BYTES, MessagePacer, PauseReason
+
+if TYPE_CHECKING:
+    from astertrack.net.base import StreamProtocol
+
+MAX_QUEUED_BYTES = 512 * 1024  # of one connection: what the buffers of both ends hold by default
+MAX_TOTAL_QUEUED_BYTES = 8 * 1024 * 1024  # of all connections; beyond it, nothing is read ahead
+RECEIVE_BYTES = 64 * 1024
+
+
+class QueueBudget:
+    """The number of bytes that the queues of one front hold."""
+
+    def __init__(self) -> None:
+        self.queued_bytes = 0
+
+    def has_room(self) -> bool:
+        """Return whether another piece may be read ahead."""
+        return self.queued_bytes + RECEIVE_BYTES <= MAX_TOTAL_QUEUED_BYTES
+
+
+class InputQueue:
+    """What was read from one connection and not processed yet.
+
+    `process` is called with bytes, and with whether the client has left; it returns the number of messages that these
+    completed, for the pacer.
+    """
+
+    def __init__(self, protocol: StreamProtocol, clock: Clock, budget: QueueBudget,
+                 process: Callable[[bytes, bool], float], on_over_rate: Callable[[], None],
+                 on_resumed: Callable[[], None]) -> None:
+        self._protocol, self._clock, self._budget, self._process = protocol, clock, budget, process
+        self._on_resumed = on_resumed
+        self._pacer = MessagePacer(protocol.reading, clock, on_over_rate, self._on_pacer_resumed)
+        self._bytes = bytearray()
+        self._timer: Timer | None = None
+
+    def __len__(self) -> int:
+        return len(self._bytes)
+
+    def receive(self, data: bytes) -> None:
+        """Process received bytes, after reading ahead if there are likely to be more."""
+        if len(data) >= READ_BUFFER_BYTES:
+            self._read_ahead()
+        self._process_piece(data)
+
+    def check_left(self) -> None:
+        """Process on, whatever the rate, if the client has left: its set-ups are cancelled then."""
+        if self._protocol.reading.is_paused_for(PauseReason.OVER_RATE) and self._protocol.is_closed_by_peer():
+            self._pacer.resume()
+
+    def is_over_rate(self) -> bool:
+        """Return whether the connection waits because of its message rate."""
+        return self._protocol.reading.is_paused_for(PauseReason.OVER_RATE)
+
+    def spend(self, messages: float) -> None:
+        """Take note of a message that costs more than others."""
+        self._pacer.spend(messages)
+
+    def clear(self) -> None:
+        """Drop everything; called when the connection has ended or is being closed."""
+        self._pacer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._budget.queued_bytes -= len(self._bytes)
+        self._bytes.clear()
+
+    def _read_ahead(self) -> None:
+        connection: Any = getattr(self._protocol.transport, "socket", None)
+        while connection is not None and len(self._bytes) < MAX_QUEUED_BYTES and self._budget.has_room():
+            try:
+                data = connection.recv(RECEIVE_BYTES, MSG_DONTWAIT)
+            except OSError:  # nothing more has arrived, or an error, which Twisted finds when it reads on
+                return
+            if not data:
+                return
+            self._bytes += data
+            self._budget.queued_bytes += len(data)
+
+    def _process_piece(self, data: bytes) -> None:
+        has_left = self._protocol.is_closed_by_peer()
+        messages = self._process(data, has_left)
+        if not has_left:
+            self._pacer.spend(messages)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        """Process the next piece in the next reactor iteration, or read on if there is none."""
+        if not self._bytes:
+            self._protocol.reading.resume(PauseReason.QUEUED)
+            return
+        self._protocol.reading.pause(PauseReason.QUEUED)
+        if self._timer is None and not self.is_over_rate():
+            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
+
+    def _process_next(self) -> None:
+        self._timer = None
+        data = bytes(self._bytes[:READ_BUFFER_BYTES])
+        del self._bytes[:len(data)]
+        self._budget.queued_bytes -= len(data)
+        self._process_piece(data)
+
+    def _on_pacer_resumed(self) -> None:
+        self._on_resumed()
+        if self._bytes and self._timer is None:
+            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
--- a/astertrack/net/pacing.py
+++ b/astertrack/net/pacing.py
@@ -57,6 +57,7 @@
 
     WRITE_BLOCKED = "the other end does not read"
     OVER_RATE = "the other end sends more than its message rate"
+    QUEUED = "received bytes are not processed yet"
 
 
 class ReadControl:
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -19,12 +19,11 @@
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.ended_calls import EndedCalls
+from astertrack.net.input_queue import InputQueue, QueueBudget
 from astertrack.net.pacing import (
     MAX_SET_UPS_PER_S,
     RETRY_WAIT_US,
     UNKNOWN_RELEASE_COST,
-    MessagePacer,
-    PauseReason,
     TokenBucket,
 )
 from astertrack.net.partial import PartialMessage
@@ -78,6 +77,7 @@
         self.connections: set[ClientConnection] = set()
         self.calls: dict[str, ApiCall] = {}
         self.ended_calls = EndedCalls(self._forget)
+        self.queue_budget = QueueBudget()
         # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
         self.resumed_orphans: dict[str, ClientConnection] = {}
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -165,7 +165,7 @@
         elif call is not None:
             self._update_call(call_id, api.Released(call_id, release.cause))
         else:  # set up before a restart
-            connection.pacer.spend(UNKNOWN_RELEASE_COST - 1)
+            connection.input.spend(UNKNOWN_RELEASE_COST - 1)
             self._end_orphan(call_id, release.cause, connection)
 
     def _on_cancel(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
@@ -279,7 +279,8 @@
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
         self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
-        self.pacer = MessagePacer(self.reading, front.clock, self._on_over_rate, self._on_reading_resumed)
+        self.input = InputQueue(self, front.clock, front.queue_budget, self._process, self._on_over_rate,
+                                self._on_reading_resumed)
         self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.last_received_us)
         self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
         self.ping_sent = self.is_receiving = False  # is_receiving: output is written once, after all input
@@ -303,14 +304,14 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Called by Twisted when the connection has ended."""
-        self.pacer.cancel()
+        self.input.clear()
         self.front.on_closed(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when bytes were received."""
-        self.pacer.spend(self._process(data))
+        self.input.receive(data)
 
-    def _process(self, data: bytes) -> int:
+    def _process(self, data: bytes, has_left: bool) -> int:
         """Process received bytes; return the number of messages that they completed."""
         self.last_received_us = now = self.front.clock.now_us()
         self.ping_sent, self.is_receiving = False, True
@@ -320,7 +321,7 @@
         for event in events:
             match event:
                 case ws.Text(raw):
-                    self._on_text(raw)
+                    self._on_text(raw, has_left)
                 case ws.Closed():
                     self.close()
                 case Malformed(reason):
@@ -331,9 +332,13 @@
         self.write(self.websocket.take_output())
         return self.websocket.message_count - messages_before
 
-    def _on_text(self, raw: str) -> None:
+    def _on_text(self, raw: str, has_left: bool) -> None:
         try:
-            self.front.on_request(self, api.decode_request(raw))
+            request = api.decode_request(raw)
+            if has_left and isinstance(request, api.SetUp):
+                self.counts["ws_set_ups_abandoned"] += 1
+                return
+            self.front.on_request(self, request)
         except api.InvalidMessageError as error:
             self.counts["ws_errors_sent"] += 1
             self.send_message(api.Error(error.code, error.reason, error.id))
@@ -350,8 +355,8 @@
                          and now_us - self.write_blocked_since_us > WRITE_BLOCKED_TIMEOUT_US)
         if write_blocked or now_us - self.last_received_us > UNRESPONSIVE_TIMEOUT_US:
             self.abort()
-        elif self.reading.is_paused_for(PauseReason.OVER_RATE):
-            pass  # nothing is read, so no message can be completed
+        elif self.input.is_over_rate():
+            self.input.check_left()
         elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
             self.counts["ws_closed_half_sent"] += 1
             self.abort()
