Take a peer for gone when another one is announced at its address

Callers saw: when the bulletin told of a new exchange at the address of one that had died before it told of the old one's end, 12 of 12 set-ups for the old one went to the new one, and the calls that had stood at the old one were released up to 8.1 s after their end.

Cause: a link was kept for each name, whatever its address, so the old name's link connected to the new process.

Change: net/addresses.py resolves each change of the roster so that an address has one peer, the one that was announced there last.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -11,13 +11,14 @@
 
 from astertrack.config import Config, ConfigError, read_bulletin_address
 from astertrack.core import Gate, Router
+from astertrack.net.addresses import AddressOwners, Endpoint
 from astertrack.net.apilink import ApiLink
 from astertrack.net.base import listen
 from astertrack.net.bulletin import Bulletin, read_event
 from astertrack.net.callers import SipFront
 from astertrack.net.clock import ReactorClock
 from astertrack.net.links import Link
-from astertrack.net.peers import Endpoint, PeerLink, PeerTable
+from astertrack.net.peers import PeerLink, PeerTable
 from astertrack.net.websocket import ApiFront
 from astertrack.parts import load_parts
 from astertrack.parts.model import PartContext
@@ -52,6 +53,7 @@
         self.store = make_store(config.gateway.store, config.gateway.database, reactor, self.counts)
         self.peers = PeerTable(self._make_link, config.settings.home, self.clock,
                                max(MIN_MAX_PEERS, int(config.sockets * PEER_DESCRIPTOR_RATIO)))
+        self.address_owners = AddressOwners()
         self.parts = load_parts(PartContext(config, reactor, self.clock, self.counts, self.peers))
         policies = [policy for part in self.parts for policy in part.policies()]
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self.store.record,
@@ -99,7 +101,7 @@
                 endpoints = {}
             endpoints.update({endpoint.entry.exchange: endpoint for endpoint in changed})
         initial_peers = [endpoint for endpoint in endpoints.values()
-                         if endpoint.entry.readiness is not io.Readiness.GONE]
+                         if not endpoint.is_gone]
         self._apply_roster(io.RosterKind.RESTORED, initial_peers)
         for part in self.parts:
             part.start(self.router)
@@ -116,6 +118,7 @@
         if kind is not io.RosterKind.UPDATE:  # configured destinations belong to every complete list
             endpoints = [*(endpoint for endpoint in endpoints if endpoint.entry.exchange not in self.destination_paths),
                          *self.destinations]
+        endpoints = self.address_owners.resolve(endpoints, complete=kind is not io.RosterKind.UPDATE)
         known_endpoints = endpoints
         endpoints = self.peers.admit(endpoints, complete=kind is not io.RosterKind.UPDATE)
         if len(endpoints) < len(known_endpoints):
--- a/astertrack/net/bulletin.py
+++ b/astertrack/net/bulletin.py
@@ -11,10 +11,10 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from astertrack.net.addresses import Endpoint
 from astertrack.net.base import StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.pacing import MessagePacer
-from astertrack.net.peers import Endpoint
 from astertrack.net.streams import StreamAttempt, StreamKeeper, StreamProgress, StreamTimeouts
 from astertrack.wire import sse
 from astertrack.wire.common import Malformed, MalformedError
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -14,6 +14,7 @@
 
 from astertrack.core import NORMAL_CLEARING, TEMPORARY_FAILURE, AttemptEnd, Request
 from astertrack.core.model import Clock, Timer
+from astertrack.net.addresses import Endpoint
 from astertrack.net.base import StreamProtocol
 from astertrack.net.links import LIVENESS_CHECK_INTERVAL_US, Link
 from astertrack.net.pacing import MessagePacer
@@ -178,14 +179,6 @@
             self.connection.write(data)
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """A peer of the roster and its address, host:port."""
-
-    address: str
-    entry: io.Entry
-
-
 class PeerTable:
     """The links to all peers, by name. Implements the Peers port of the core."""
 
@@ -214,8 +207,7 @@
         room = self.max_links - (0 if complete else len(self.links))
         admitted = []
         for endpoint in endpoints:
-            is_new = endpoint.entry.readiness is not io.Readiness.GONE and (
-                complete or endpoint.entry.exchange not in self.links)
+            is_new = not endpoint.is_gone and (complete or endpoint.entry.exchange not in self.links)
             if not is_new or room > 0:
                 admitted.append(endpoint)
                 room -= is_new
@@ -227,7 +219,7 @@
         A peer keeps its name when it restarts; at another address it is a new machine, and its link starts afresh.
         """
         listed = {e.entry.exchange for e in endpoints}
-        gone = [e.entry.exchange for e in endpoints if e.entry.readiness is io.Readiness.GONE]
+        gone = [e.entry.exchange for e in endpoints if e.is_gone]
         if complete:
             gone += [name for name in self.links if name not in listed]
         for name in gone:
@@ -241,8 +233,7 @@
         """Create links to the peers that have none yet, except to the own exchange, whose number is `home`."""
         for endpoint in endpoints:
             name, entry = endpoint.entry.exchange, endpoint.entry
-            if entry.readiness is not io.Readiness.GONE and entry.number != self.home and (
-                    name not in self.links):
+            if not endpoint.is_gone and entry.number != self.home and name not in self.links:
                 self.links[name] = self.make_link(endpoint)
                 self.addresses[name] = endpoint.address
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -23,6 +23,7 @@
 from twisted.python.failure import Failure
 
 from astertrack.core import Request
+from astertrack.net.addresses import Endpoint
 from astertrack.net.links import (
     KEEPALIVE_IDLE_US,
     LIVENESS_CHECK_INTERVAL_US,
@@ -33,7 +34,7 @@
     UNRESPONSIVE_TIMEOUT_US,
 )
 from astertrack.net.partial import STALLED_MESSAGE_TIMEOUT_US
-from astertrack.net.peers import Endpoint, PeerLink, PeerTable
+from astertrack.net.peers import PeerLink, PeerTable
 from astertrack.wire import peer as wire
 from ospreylug import interface as io
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -17,9 +17,10 @@
 from twisted.internet.task import Clock
 
 from astertrack.logs import MAX_LINES_PER_S, LineLimiter
+from astertrack.net.addresses import Endpoint
 from astertrack.net.ended_calls import MAX_ENDED_CALLS, RETENTION_US, EndedCalls
 from astertrack.net.pacing import BURST_S, MAX_MESSAGES_PER_S, MAX_SET_UPS_PER_S, TokenBucket
-from astertrack.net.peers import Endpoint, PeerTable
+from astertrack.net.peers import PeerTable
 from astertrack.wire import peer as wire
 from astertrack.wire import sse
 from astertrack.wire.common import Malformed
--- a/tests/test_partial_messages.py
+++ b/tests/test_partial_messages.py
@@ -14,11 +14,11 @@
 from wsproto import ConnectionType, WSConnection
 from wsproto.events import AcceptConnection, Message, Ping, Request
 
+from astertrack.net.addresses import Endpoint
 from astertrack.net.apilink import ApiLink
 from astertrack.net.bulletin import TIMEOUTS
 from astertrack.net.links import PEER_LOST_TIMEOUT_US
 from astertrack.net.partial import INCOMPLETE_MESSAGE_TIMEOUT_US
-from astertrack.net.peers import Endpoint
 from astertrack.wire import peer as wire
 
 RELEASE_LIMIT_US = 1_000_000  # a release by a peer is due at its caller within this time
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,16 +10,17 @@
 
 import pytest
 from drivers import FakeClock, FakeTransport
-from test_bulletin import BulletinServer, make_endpoint, place_call
+from test_bulletin import place_call
 from test_control import make_plan, make_settings
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from astertrack.net.addresses import Endpoint
 from astertrack.net.bulletin import RECONNECT_INTERVAL_US, TIMEOUTS, Bulletin
-from astertrack.net.peers import Endpoint
 from astertrack.net.reports import MIN_TIMEOUT_US, ReportSender
 from astertrack.versions import Outbox, Report, VersionId
+from laboratory.bulletin import BulletinServer, make_endpoint
 from laboratory.control_service import ControlService
 from laboratory.stand_ins import ApiNode, BinaryNode, Node, SipCaller, running_router, wait_until
 
