Let the queues of many busy connections take turns, one piece in each reactor turn

Cause: each busy connection had its piece of 4 KiB processed in every turn of the reactor, however many there were.

Change: what a full read has left waits in the connection's queue, and the queues of a front take turns. Reads that are not full are processed at once, as before.

--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -19,7 +19,7 @@
 from astertrack.core.model import Clock
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.caller_releases import CallerReleases, ReleaseConnection, Trust
-from astertrack.net.input_queue import InputQueue, QueueBudget
+from astertrack.net.input_queue import InputQueue, QueueScheduler
 from astertrack.net.pacing import (
     MAX_SET_UPS_PER_S,
     RETRY_WAIT_US,
@@ -55,7 +55,7 @@
             router, clock, classes, counts, max_connections)
         self.connections: dict[CallerConnection, None] = {}  # the one that has been idle for longest first
         self.releases = CallerReleases(cast(dict[ReleaseConnection, None], self.connections), clock, counts)
-        self.queue_budget = QueueBudget()
+        self.queues = QueueScheduler(clock)
         # A connection that was evicted keeps its descriptor until the next iteration of the reactor.
         self.open_descriptors = 0
         clock.call_at(clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -102,7 +102,7 @@
         self.idle_since_us = front.clock.now_us()  # since when no message was completed or sent
         self.partial_message = PartialMessage(self.sip_connection, self.idle_since_us)
         self.closing_since_us: int | None = None
-        self.input = InputQueue(self, front.clock, front.queue_budget, self._process, self._on_over_rate,
+        self.input = InputQueue(self, front.clock, front.queues, self._process, self._on_over_rate,
                                 self._on_reading_resumed)
         self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.idle_since_us)
         self.has_sent_message = self.has_sent_invalid_message = False
--- a/astertrack/net/input_queue.py
+++ b/astertrack/net/input_queue.py
@@ -22,16 +22,42 @@
 RECEIVE_BYTES = 64 * 1024
 
 
-class QueueBudget:
-    """The number of bytes that the queues of one front hold."""
+class QueueScheduler:
+    """Takes the queues of one front in turn: one piece of one queue in each reactor iteration.
 
-    def __init__(self) -> None:
+    However many connections have much to process, everybody else waits for one piece at a time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiting: dict[InputQueue, None] = {}  # the one that comes next first
+        self._timer: Timer | None = None
         self.queued_bytes = 0
 
     def has_room(self) -> bool:
         """Return whether another piece may be read ahead."""
         return self.queued_bytes + RECEIVE_BYTES <= MAX_TOTAL_QUEUED_BYTES
 
+    def add(self, queue: InputQueue) -> None:
+        """Let a queue have its turn, after the others."""
+        self._waiting[queue] = None
+        if self._timer is None:
+            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
+
+    def remove(self, queue: InputQueue) -> None:
+        """Forget a queue."""
+        self._waiting.pop(queue, None)
+
+    def _process_next(self) -> None:
+        self._timer = None
+        if not self._waiting:
+            return
+        queue = next(iter(self._waiting))
+        del self._waiting[queue]
+        if self._waiting:
+            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
+        queue.process_next()
+
 
 class InputQueue:
     """What was read from one connection and not processed yet.
@@ -40,23 +66,25 @@
     completed, for the pacer.
     """
 
-    def __init__(self, protocol: StreamProtocol, clock: Clock, budget: QueueBudget,
+    def __init__(self, protocol: StreamProtocol, clock: Clock, scheduler: QueueScheduler,
                  process: Callable[[bytes, bool], float], on_over_rate: Callable[[], None],
                  on_resumed: Callable[[], None]) -> None:
-        self._protocol, self._clock, self._budget, self._process = protocol, clock, budget, process
+        self._protocol, self._scheduler, self._process = protocol, scheduler, process
         self._on_resumed = on_resumed
         self._pacer = MessagePacer(protocol.reading, clock, on_over_rate, self._on_pacer_resumed)
         self._bytes = bytearray()
-        self._timer: Timer | None = None
 
     def __len__(self) -> int:
         return len(self._bytes)
 
     def receive(self, data: bytes) -> None:
-        """Process received bytes, after reading ahead if there are likely to be more."""
-        if len(data) >= READ_BUFFER_BYTES:
+        """Process received bytes at once; after a full read, queue them and read ahead."""
+        if len(data) == READ_BUFFER_BYTES:
+            self._append(data)
             self._read_ahead()
-        self._process_piece(data)
+            self._schedule()
+        else:
+            self._process_piece(data)
 
     def check_left(self) -> None:
         """Process on, whatever the rate, if the client has left: its set-ups are cancelled then."""
@@ -74,23 +102,32 @@
     def clear(self) -> None:
         """Drop everything; called when the connection has ended or is being closed."""
         self._pacer.cancel()
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        self._budget.queued_bytes -= len(self._bytes)
+        self._scheduler.remove(self)
+        self._scheduler.queued_bytes -= len(self._bytes)
         self._bytes.clear()
 
+    def process_next(self) -> None:
+        """Process the next piece; called by the scheduler."""
+        data = bytes(self._bytes[:READ_BUFFER_BYTES])
+        del self._bytes[:len(data)]
+        self._scheduler.queued_bytes -= len(data)
+        if data:
+            self._process_piece(data)
+
+    def _append(self, data: bytes) -> None:
+        self._bytes += data
+        self._scheduler.queued_bytes += len(data)
+
     def _read_ahead(self) -> None:
         connection: Any = getattr(self._protocol.transport, "socket", None)
-        while connection is not None and len(self._bytes) < MAX_QUEUED_BYTES and self._budget.has_room():
+        while connection is not None and len(self._bytes) < MAX_QUEUED_BYTES and self._scheduler.has_room():
             try:
                 data = connection.recv(RECEIVE_BYTES, MSG_DONTWAIT)
             except OSError:  # nothing more has arrived, or an error, which Twisted finds when it reads on
                 return
             if not data:
                 return
-            self._bytes += data
-            self._budget.queued_bytes += len(data)
+            self._append(data)
 
     def _process_piece(self, data: bytes) -> None:
         has_left = self._protocol.is_closed_by_peer()
@@ -100,22 +137,15 @@
         self._schedule()
 
     def _schedule(self) -> None:
-        """Process the next piece in the next reactor iteration, or read on if there is none."""
+        """Let the next piece have its turn, or read on if there is none."""
         if not self._bytes:
             self._protocol.reading.resume(PauseReason.QUEUED)
             return
         self._protocol.reading.pause(PauseReason.QUEUED)
-        if self._timer is None and not self.is_over_rate():
-            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
-
-    def _process_next(self) -> None:
-        self._timer = None
-        data = bytes(self._bytes[:READ_BUFFER_BYTES])
-        del self._bytes[:len(data)]
-        self._budget.queued_bytes -= len(data)
-        self._process_piece(data)
+        if not self.is_over_rate():
+            self._scheduler.add(self)
 
     def _on_pacer_resumed(self) -> None:
         self._on_resumed()
-        if self._bytes and self._timer is None:
-            self._timer = self._clock.call_at(self._clock.now_us(), self._process_next)
+        if self._bytes:
+            self._scheduler.add(self)
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -19,7 +19,7 @@
 from astertrack.net.base import BackpressureProducer, StreamProtocol
 from astertrack.net.clock import ReactorClock
 from astertrack.net.ended_calls import EndedCalls
-from astertrack.net.input_queue import InputQueue, QueueBudget
+from astertrack.net.input_queue import InputQueue, QueueScheduler
 from astertrack.net.pacing import (
     MAX_SET_UPS_PER_S,
     RETRY_WAIT_US,
@@ -77,7 +77,7 @@
         self.connections: set[ClientConnection] = set()
         self.calls: dict[str, ApiCall] = {}
         self.ended_calls = EndedCalls(self._forget)
-        self.queue_budget = QueueBudget()
+        self.queues = QueueScheduler(clock)
         # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
         self.resumed_orphans: dict[str, ClientConnection] = {}
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
@@ -279,7 +279,7 @@
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
         self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
-        self.input = InputQueue(self, front.clock, front.queue_budget, self._process, self._on_over_rate,
+        self.input = InputQueue(self, front.clock, front.queues, self._process, self._on_over_rate,
                                 self._on_reading_resumed)
         self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.last_received_us)
         self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -35,6 +35,18 @@
             yield harness, connection, transport, client
 
 
+def record_pieces(connection: Any, pieces: list[tuple[Any, bytes]]) -> list[tuple[Any, bytes]]:
+    """Record what a connection processes at once."""
+    process = connection.input._process
+
+    def record(data: bytes, has_left: bool) -> float:
+        pieces.append((connection, data))
+        return float(process(data, has_left))
+
+    connection.input._process = record
+    return pieces
+
+
 @pytest.mark.parametrize("front", ["sip", "api"])
 @pytest.mark.parametrize("end", ["close", "reset"])
 def test_set_ups_of_a_client_that_has_left_are_not_sent_on_and_none_runs_twice(front: str, end: str) -> None:
@@ -65,27 +77,43 @@
     assert len(data) > 2 * READ_BUFFER_BYTES
     client.sendall(data[READ_BUFFER_BYTES:])
     time.sleep(0.05)
+    pieces = record_pieces(connection, [])
     connection.dataReceived(data[:READ_BUFFER_BYTES])
-    assert 0 < harness.counts["sip_set_ups"] < 50
     assert transport.producerState == "paused"
     assert connection.has_unread_bytes()
     harness.pass_time(5)
+    assert b"".join(piece for _, piece in pieces) == data
+    assert max(len(piece) for _, piece in pieces) == READ_BUFFER_BYTES
     assert harness.counts["sip_set_ups"] == 100
     assert transport.producerState == "producing"
-    assert harness.front.queue_budget.queued_bytes == 0
+    assert harness.front.queues.queued_bytes == 0
 
 
 def test_what_was_read_ahead_is_bounded_and_dropped_with_its_connection(connected: Any) -> None:
     harness, connection, _, client = connected
     client.setblocking(False)
     connection.input._bytes += b"\r\n" * (MAX_QUEUED_BYTES // 2)
-    harness.front.queue_budget.queued_bytes += MAX_QUEUED_BYTES
+    harness.front.queues.queued_bytes += MAX_QUEUED_BYTES
     client.send(b"\r\n" * 100)
     time.sleep(0.05)
-    connection.dataReceived(b"\r\n" * READ_BUFFER_BYTES)
-    assert len(connection.input) == MAX_QUEUED_BYTES
+    connection.dataReceived(b"\r\n" * (READ_BUFFER_BYTES // 2))
+    assert len(connection.input) == MAX_QUEUED_BYTES + READ_BUFFER_BYTES  # nothing was read ahead
     close_by_peer(connection)
-    assert (len(connection.input), harness.front.queue_budget.queued_bytes) == (0, 0)
+    assert (len(connection.input), harness.front.queues.queued_bytes) == (0, 0)
+
+
+def test_queues_take_turns_one_piece_in_each_reactor_iteration() -> None:
+    # Guards against docs/incidents/9: many connections with much to process held up everybody else together.
+    harness = SipFrontHarness()
+    connections = [harness.connect()[0] for _ in range(3)]
+    pieces: list[tuple[Any, bytes]] = []
+    for connection in connections:
+        record_pieces(connection, pieces)
+        connection.input._bytes += b"\r\n" * READ_BUFFER_BYTES  # read ahead: two pieces
+        connection.dataReceived(b"\r\n" * (READ_BUFFER_BYTES // 2))
+    assert not pieces
+    harness.pass_time(1)
+    assert [connection for connection, _ in pieces] == connections * 3
 
 
 def test_an_id_that_was_sent_to_a_peer_is_refused_when_it_comes_again() -> None:
