Share what links of both kinds do with incomplete and too many messages

Cause: PeerConnection and ApiConnection had the same timers, counters and clean-up for incomplete messages and for the message rate, written twice.

Change: LinkConnection has them once.

--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -5,14 +5,9 @@
 from dataclasses import dataclass
 
 import structlog
-from twisted.internet.protocol import connectionDone
-from twisted.python.failure import Failure
 
 from astertrack.core import NORMAL_CLEARING, AttemptEnd, Request
-from astertrack.net.base import StreamProtocol
-from astertrack.net.links import Link
-from astertrack.net.pacing import MessagePacer
-from astertrack.net.partial import PartialMessageTimer
+from astertrack.net.links import Link, LinkConnection
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
 from astertrack.wire.common import MAX_MESSAGE_BYTES, Malformed
@@ -25,15 +20,14 @@
                  "lines-busy": io.Cause.LINES_BUSY}
 
 
-class ApiConnection(StreamProtocol):
+class ApiConnection(LinkConnection):
     """One WebSocket connection to a destination."""
 
     def __init__(self, link: ApiLink) -> None:
         self.link = link
         self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
         self._started_us = 0  # of the handshake
-        self._partial_timer = PartialMessageTimer(self.websocket, link.clock, self._on_partial_timeout)
-        self._pacer = MessagePacer(self.reading, link.clock, self._on_over_rate, self._on_reading_resumed)
+        super().__init__(link, self.websocket)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established; the socket is open after the handshake."""
@@ -54,7 +48,7 @@
         """Called by Twisted when bytes were received."""
         if self.is_closed:
             return
-        if self.websocket.state is not ws.State.CONNECTING:  # a handshake that never completes is no sign of life
+        if self.is_receiving_messages():  # a handshake that never completes is no sign of life
             self.link.record_activity()
         messages_before = self.websocket.message_count
         for event in self.websocket.receive(data):
@@ -76,20 +70,11 @@
             if self.is_closed:
                 return
         self.write(self.websocket.take_output())
-        if self.websocket.state is not ws.State.CONNECTING:  # the handshake has its own timeout
-            self._partial_timer.update()
-        self._pacer.spend(self.websocket.message_count - messages_before)
+        self.note_received(self.websocket.message_count - messages_before)
 
-    def _on_over_rate(self) -> None:
-        self.link.counts["peer_paused_over_rate"] += 1
-        self._partial_timer.cancel()
-
-    def _on_reading_resumed(self) -> None:
-        if self.websocket.state is not ws.State.CONNECTING:
-            self._partial_timer.restart()
-
-    def _on_partial_timeout(self) -> None:
-        self.link.on_incomplete_message(self)
+    def is_receiving_messages(self) -> bool:
+        """Return whether the handshake is complete."""
+        return self.websocket.state is not ws.State.CONNECTING
 
     def _on_text(self, raw: str) -> None:
         try:
@@ -98,12 +83,6 @@
             self.link.counts["peer_malformed"] += 1
             log.warning("malformed message from a destination", peer=self.link.name, reason=error.reason)
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Called by Twisted when the connection has ended."""
-        self._partial_timer.cancel()
-        self._pacer.cancel()
-        self.link.on_disconnected(self, reason)
-
     def ping(self) -> None:
         """Send a ping."""
         self.websocket.ping()
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -11,13 +11,15 @@
 import structlog
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TCPTimedOutError, TimeoutError
 from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from astertrack.core import NORMAL_CLEARING, TEMPORARY_FAILURE, AttemptEnd, Request, Router
 from astertrack.core.model import Timer
 from astertrack.net.base import StreamProtocol, is_failure_of_type
 from astertrack.net.clock import ReactorClock
+from astertrack.net.pacing import MessagePacer
+from astertrack.net.partial import MessageDecoder, PartialMessageTimer
 from ospreylug import interface as io
 
 log = structlog.get_logger()
@@ -69,6 +71,42 @@
     return DialFailure.OTHER
 
 
+class LinkConnection(StreamProtocol):
+    """A connection of a link, which ends if a message stays incomplete, and is read no faster than its message rate."""
+
+    def __init__(self, link: Link, decoder: MessageDecoder) -> None:
+        self._link = link
+        self._partial_timer = PartialMessageTimer(decoder, link.clock, self._on_partial_timeout)
+        self._pacer = MessagePacer(self.reading, link.clock, self._on_over_rate, self._on_reading_resumed)
+
+    def is_receiving_messages(self) -> bool:
+        """Return whether the connection is past its handshake, which has a timeout of its own."""
+        return True
+
+    def note_received(self, messages: int) -> None:
+        """Take note of received bytes that have completed so many messages."""
+        if self.is_receiving_messages():
+            self._partial_timer.update()
+        self._pacer.spend(messages)
+
+    def _on_partial_timeout(self) -> None:
+        self._link.on_incomplete_message(self)
+
+    def _on_over_rate(self) -> None:
+        self._link.counts["peer_paused_over_rate"] += 1
+        self._partial_timer.cancel()
+
+    def _on_reading_resumed(self) -> None:
+        if self.is_receiving_messages():
+            self._partial_timer.restart()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Called by Twisted when the connection has ended."""
+        self._partial_timer.cancel()
+        self._pacer.cancel()
+        self._link.on_disconnected(self, reason)
+
+
 class DialFactory(ClientFactory):
     """Factory of one connection attempt."""
 
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -9,16 +9,11 @@
 from functools import lru_cache
 
 import structlog
-from twisted.internet.protocol import connectionDone
-from twisted.python.failure import Failure
 
 from astertrack.core import NORMAL_CLEARING, TEMPORARY_FAILURE, AttemptEnd, Request
 from astertrack.core.model import Clock, Timer
 from astertrack.net.addresses import Endpoint
-from astertrack.net.base import StreamProtocol
-from astertrack.net.links import LIVENESS_CHECK_INTERVAL_US, Link
-from astertrack.net.pacing import MessagePacer
-from astertrack.net.partial import PartialMessageTimer
+from astertrack.net.links import LIVENESS_CHECK_INTERVAL_US, Link, LinkConnection
 from astertrack.wire import peer as wire
 from astertrack.wire.common import Malformed, MalformedError, parse_figures
 from ospreylug import interface as io
@@ -47,14 +42,13 @@
     return read_load({LOAD_FIELDS.get(name, name): value for name, value in parse_figures(report).items()})
 
 
-class PeerConnection(StreamProtocol):
+class PeerConnection(LinkConnection):
     """One connection to a peer."""
 
     def __init__(self, link: PeerLink) -> None:
         self.link = link
         self.decoder = wire.MessageDecoder()
-        self._partial_timer = PartialMessageTimer(self.decoder, link.clock, self._on_partial_timeout)
-        self._pacer = MessagePacer(self.reading, link.clock, self._on_over_rate, self._partial_timer.restart)
+        super().__init__(link, self.decoder)
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
@@ -87,21 +81,7 @@
                 self.link.on_event(event)
             if self.is_closed:
                 return
-        self._partial_timer.update()
-        self._pacer.spend(len(messages))
-
-    def _on_over_rate(self) -> None:
-        self.link.counts["peer_paused_over_rate"] += 1
-        self._partial_timer.cancel()
-
-    def _on_partial_timeout(self) -> None:
-        self.link.on_incomplete_message(self)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Called by Twisted when the connection has ended."""
-        self._partial_timer.cancel()
-        self._pacer.cancel()
-        self.link.on_disconnected(self, reason)
+        self.note_received(len(messages))
 
 
 @dataclass(eq=False)
