Let a connection that has ended be freed at once, with what it has received

Cause: the read control, the pacer, the input queue and the timer of incomplete messages, all new, refer to their connection and it to them, so that each ended connection waited for a full garbage collection, which is rare here.

Change: they refer to it weakly; a stream clears its buffers when it ends, and an attempt forgets its connection. The waits of tests/test_abandoned.py poll for their condition instead of sleeping; the sleeps that are left are the steps of that poll.

With strong references the new test fails.

--- a/astertrack/net/base.py
+++ b/astertrack/net/base.py
@@ -14,6 +14,7 @@
 from astertrack.core.model import Clock
 from astertrack.net import tcp_states
 from astertrack.net.pacing import READ_BUFFER_BYTES, PauseReason, ReadControl
+from astertrack.net.weakly import weakly
 
 DEFAULT_BACKLOG = 50  # connections that wait to be accepted
 
@@ -27,7 +28,10 @@
     @cached_property
     def reading(self) -> ReadControl:
         """Pauses reading from this connection."""
-        return ReadControl(lambda: self.transport)
+        return ReadControl(weakly(self._get_transport))
+
+    def _get_transport(self) -> Any:
+        return self.transport
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established.
--- a/astertrack/net/input_queue.py
+++ b/astertrack/net/input_queue.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import weakref
 from collections.abc import Callable
 from socket import MSG_DONTWAIT
 from typing import TYPE_CHECKING, Any
 
 from astertrack.core.model import Clock, Timer
 from astertrack.net.pacing import READ_BUFFER_BYTES, MessagePacer, PauseReason
+from astertrack.net.weakly import weakly
 
 if TYPE_CHECKING:
     from astertrack.net.base import StreamProtocol
@@ -69,8 +71,8 @@
     def __init__(self, protocol: StreamProtocol, clock: Clock, scheduler: QueueScheduler,
                  process: Callable[[bytes, bool], float], on_over_rate: Callable[[], None],
                  on_resumed: Callable[[], None]) -> None:
-        self._protocol, self._scheduler, self._process = protocol, scheduler, process
-        self._on_resumed = on_resumed
+        self._protocol: StreamProtocol = weakref.proxy(protocol)
+        self._scheduler, self._process, self._on_resumed = scheduler, weakly(process), weakly(on_resumed)
         self._pacer = MessagePacer(protocol.reading, clock, on_over_rate, self._on_pacer_resumed)
         self._bytes = bytearray()
 
--- a/astertrack/net/pacing.py
+++ b/astertrack/net/pacing.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from astertrack.core.model import Clock, Timer
+from astertrack.net.weakly import weakly
 
 # On its busiest day a router gets 190 calls a second, and 1.6 times as many in a burst; they may share a connection.
 MAX_SET_UPS_PER_S = 320
@@ -93,7 +94,8 @@
 
     def __init__(self, reading: ReadControl, clock: Clock, on_pause: Callable[[], None],
                  on_resume: Callable[[], None]) -> None:
-        self._reading, self._clock, self._on_pause, self._on_resume = reading, clock, on_pause, on_resume
+        self._reading, self._clock = reading, clock
+        self._on_pause, self._on_resume = weakly(on_pause), weakly(on_resume)
         self._bucket = TokenBucket(MAX_MESSAGES_PER_S, clock.now_us())
         self._timer: Timer | None = None
 
--- a/astertrack/net/partial.py
+++ b/astertrack/net/partial.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from astertrack.core.model import Clock, Timer
+from astertrack.net.weakly import weakly
 
 # A message of a peer or a destination that has stopped, or that does not end although bytes of it arrive, ends its
 # connection. The longer one leaves time to reconnect: a release behind the message is due at its caller within 1 s.
@@ -59,7 +60,7 @@
 
     def __init__(self, decoder: MessageDecoder, clock: Clock, on_timeout: Callable[[], None]) -> None:
         self._partial = PartialMessage(decoder, clock.now_us())
-        self._clock, self._on_timeout = clock, on_timeout
+        self._clock, self._on_timeout = clock, weakly(on_timeout)
         self._timer: Timer | None = None
 
     def update(self) -> None:
--- a/astertrack/net/streams.py
+++ b/astertrack/net/streams.py
@@ -124,6 +124,7 @@
 
     def on_closed(self) -> None:
         """Called when the connection has ended, or could not be established."""
+        self.connection = None  # they refer to each other
         if self.phase is not AttemptPhase.ENDED:
             self._end()
             self._streams.on_ended(self)
--- a/astertrack/wire/sse.py
+++ b/astertrack/wire/sse.py
@@ -84,6 +84,9 @@
             self._parse_events(events)
         except MalformedError as error:
             self.is_ended = True
+            self._buffer.clear()
+            self._body.clear()
+            self._data.clear()
             events.append(Malformed(str(error)))
         return events
 
--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
@@ -35,6 +38,19 @@
             yield harness, connection, transport, client
 
 
+def wait_for(condition: Callable[[], bool], limit_s: float = 5.0) -> None:
+    """Wait until a condition holds; fail if it does not within the limit."""
+    end_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.001)
+
+
+def count_unread(connection: socket.socket) -> int:
+    """Return how many received bytes wait in a socket (FIONREAD)."""
+    return int.from_bytes(fcntl.ioctl(connection, termios.FIONREAD, bytes(4)), sys.byteorder)
+
+
 def record_pieces(connection: Any, pieces: list[tuple[Any, bytes]]) -> list[tuple[Any, bytes]]:
     """Record what a connection processes at once."""
     process = connection.input._process
@@ -62,7 +78,7 @@
     connection.dataReceived(make_invite(FIRST_CALL))
     harness.router_harness.router.on_answered(harness.router_harness.peer_by_call[FIRST_CALL], FIRST_CALL, b"answer")
     client.close()
-    time.sleep(0.05)  # until the close has arrived
+    wait_for(connection.is_closed_by_peer)
     bye = f"BYE sip:{FIRST_CALL}@net SIP/2.0\r\nCall-ID: {FIRST_CALL}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
     connection.dataReceived(make_invite(SECOND_CALL) + bye.encode())
     assert harness.counts["sip_set_ups_abandoned"] == 1
@@ -76,7 +92,7 @@
     data = b"".join(make_invite(f"{number:016x}") for number in range(100))
     assert len(data) > 2 * READ_BUFFER_BYTES
     client.sendall(data[READ_BUFFER_BYTES:])
-    time.sleep(0.05)
+    wait_for(lambda: count_unread(transport.socket) == len(data) - READ_BUFFER_BYTES)
     pieces = record_pieces(connection, [])
     connection.dataReceived(data[:READ_BUFFER_BYTES])
     assert transport.producerState == "paused"
@@ -90,12 +106,12 @@
 
 
 def test_what_was_read_ahead_is_bounded_and_dropped_with_its_connection(connected: Any) -> None:
-    harness, connection, _, client = connected
+    harness, connection, transport, client = connected
     client.setblocking(False)
     connection.input._bytes += b"\r\n" * (MAX_QUEUED_BYTES // 2)
     harness.front.queues.queued_bytes += MAX_QUEUED_BYTES
     client.send(b"\r\n" * 100)
-    time.sleep(0.05)
+    wait_for(lambda: count_unread(transport.socket) == 200)
     connection.dataReceived(b"\r\n" * (READ_BUFFER_BYTES // 2))
     assert len(connection.input) == MAX_QUEUED_BYTES + READ_BUFFER_BYTES  # nothing was read ahead
     close_by_peer(connection)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
+import weakref
 from collections import Counter
 from typing import Any, cast
 
 import pytest
 import structlog
-from drivers import FakeClock, SipFrontHarness, make_invite, response_statuses
+from drivers import FakeClock, SipFrontHarness, close_by_peer, make_invite, response_statuses
 from test_call_front import connect
 from test_links import connected_peer
 from test_streams import HEAD, BulletinHarness
@@ -190,3 +192,21 @@
     now_s[0] = 1.0
     assert write("a") == {"event": "a", "suppressed": 7}
     assert write("a") == {"event": "a"}
+
+
+def test_a_connection_that_has_ended_is_not_left_to_the_garbage_collector() -> None:
+    # Guards against docs/incidents/9: memory would grow with each connection, because full collections are rare.
+    harness = SipFrontHarness()
+    gc.collect()
+    gc.disable()
+    try:
+        connection, transport = harness.connect()
+        connection.dataReceived(make_invite("1" * 16))
+        close_by_peer(connection)
+        transport.producer = connection.transport = None  # as Twisted does
+        reference = weakref.ref(connection)
+        del connection, transport
+        harness.pass_time(10)
+        assert reference() is None
+    finally:
+        gc.enable()
