--- a/laboratory/stand_ins.py
+++ b/laboratory/stand_ins.py
@@ -392,6 +392,12 @@
         """Wait until the log contains a text, at least so many times."""
         await wait_until(lambda: self.log_path.read_text().count(text) >= times)
 
+    async def kill(self) -> None:
+        """End the process at once, if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
     async def stop_and_read_counters(self) -> Counter[str]:
         """Terminate the program, check that it exits with 0, and return the counters that it prints at its end."""
         if self.process.returncode is None:
@@ -410,50 +416,71 @@
         return int(bound_socket.getsockname()[1])
 
 
-@contextlib.asynccontextmanager
-async def running_router(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
-                         gateway: str = "", bulletin: str = "", versions: str = "",
-                         module: str = "astertrack", limits: dict[str, float] | None = None,
-                         ) -> AsyncIterator[RouterProcess]:
-    """Run the program between stand-in exchanges, given by exchange number, and stop all of them at the end.
+class RouterInstallation:
+    """The configuration of one router in a folder, with ports of its own: it can be started any number of times.
 
-    gateway is text to put at the head of gateway.toml, bulletin the address of the bulletin service, versions the text
-    of versions.toml, module the Python module to start, and limits the platform's limits, of which that of descriptors
-    is set for the process, too. Fails with the log's text if the program ends before it serves.
+    nodes and api_nodes are its peers and its destinations, by exchange number; gateway is text to put at the head of
+    gateway.toml, bulletin the address of the bulletin service, versions the text of versions.toml, and limits the
+    platform's limits, of which that of descriptors is set for the process, too. source is the folder of the program.
     """
-    sip_port, api_port = free_port(), free_port()
-    with tempfile.TemporaryDirectory() as folder:
+
+    def __init__(self, folder: Path, nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
+                 gateway: str = "", bulletin: str = "", versions: str = "", limits: dict[str, float] | None = None,
+                 name: str = "n0", source: Path = ROOT) -> None:
+        self.folder, self.limits, self.name, self.source = folder, limits, name, source
+        self.sip_port, self.api_port = free_port(), free_port()
         endpoints = [{"name": f"s-{number}", "address": node.address, "zone": "fes", "type": "small-node",
                       "group": number, "status": "in_service", "weight": 1, "since_ms": 0}
                      for number, node in nodes.items()]
-        config = {"name": "n0", "listen": f"127.0.0.1:{sip_port}", "seed": "1f", "bulletin": bulletin,
+        config = {"name": name, "listen": f"127.0.0.1:{self.sip_port}", "seed": "1f", "bulletin": bulletin,
                   "limits": limits or {}, "known": {"no": 1, "items": [{"no": 1, "roster": {
                       "index": 1, "snapshot": True, "endpoints": endpoints}}]}, "settings": SETTINGS}
-        directory = Path(folder)
-        (directory / "config.json").write_text(json.dumps(config))
-        gateway_lines = [gateway, "[front]", f'listen = "127.0.0.1:{api_port}"']
+        (folder / "config.json").write_text(json.dumps(config))
+        gateway_lines = [gateway, "[front]", f'listen = "127.0.0.1:{self.api_port}"']
         for number, node in (api_nodes or {}).items():
             gateway_lines += ["[[destination]]", f'name = "w-{number}"', f'address = "{node.address}"',
                               f"number = {number}"]
-        (directory / "gateway.toml").write_text("\n".join(gateway_lines))
-        (directory / "versions.toml").write_text(versions)
-        log_path = directory / "log"
+        (folder / "gateway.toml").write_text("\n".join(gateway_lines))
+        (folder / "versions.toml").write_text(versions)
+
+    async def start(self, module: str = "astertrack") -> RouterProcess:
+        """Start a Python module of the program; the log of an earlier start is replaced."""
+        log_path = self.folder / "log"
         with log_path.open("w") as log_file:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", module, cwd=ROOT, stderr=log_file,
-                env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{sip_port}",
-                     "RELAY_CONFIG": str(directory / "config.json"),
-                     "ASTERTRACK_GATEWAY": str(directory / "gateway.toml"),
-                     "ASTERTRACK_VERSIONS": str(directory / "versions.toml")})
+                sys.executable, "-m", module, cwd=self.source, stderr=log_file,
+                env={**os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": f"127.0.0.1:{self.sip_port}",
+                     "RELAY_CONFIG": str(self.folder / "config.json"),
+                     "ASTERTRACK_GATEWAY": str(self.folder / "gateway.toml"),
+                     "ASTERTRACK_VERSIONS": str(self.folder / "versions.toml")})
+        return RouterProcess(process, self.sip_port, self.api_port, log_path)
+
+    async def wait_until_serving(self, router: RouterProcess) -> None:
+        """Wait until a started process serves. Fails with the log's text if it ends before."""
+        process, log_path = router.process, router.log_path
+        await wait_until(lambda: process.returncode is not None or "event=serving" in log_path.read_text())
+        assert process.returncode is None, log_path.read_text()
+        if self.limits is not None:
+            sockets = int(self.limits["sockets"])
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+
+
+@contextlib.asynccontextmanager
+async def running_router(nodes: dict[int, Node], api_nodes: dict[int, Node] | None = None,
+                         gateway: str = "", bulletin: str = "", versions: str = "",
+                         module: str = "astertrack", limits: dict[str, float] | None = None,
+                         ) -> AsyncIterator[RouterProcess]:
+    """Run a module of the program between stand-in exchanges, and stop all of them at the end.
+
+    The other parameters are those of RouterInstallation.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        installation = RouterInstallation(Path(folder), nodes, api_nodes, gateway, bulletin, versions, limits)
+        router = await installation.start(module)
         try:
-            await wait_until(lambda: process.returncode is not None or "event=serving" in log_path.read_text())
-            assert process.returncode is None, log_path.read_text()
-            if limits is not None:
-                resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (int(limits["sockets"]), int(limits["sockets"])))
-            yield RouterProcess(process, sip_port, api_port, log_path)
+            await installation.wait_until_serving(router)
+            yield router
         finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
+            await router.kill()
             for node in (*nodes.values(), *(api_nodes or {}).values()):
                 node.stop()
