Release calls towards API clients that have restarted, until they confirm it

Cause: far kept whose a call is on a connection only, and near keeps nothing over a restart, so that it could not ask for its calls (docs/incidents/12). With binary peers nothing is asked for: they send releases on any connection.

Change: a client of the API may name itself in its handshake, as routers do; an older server ignores the headers. ClientReleases holds the releases of a named client, sends them on whatever connection it has, in batches, and again on the next one until it confirms them. Near confirms only what its caller has (ReleaseConfirmations). Where both ends have restarted, an end that nobody claims goes to the clients that have lost their calls, and to nobody else. What is held is bounded for each client, in all, and in time; drops are counted.

Whole suite: 673 passed in 252 s.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -19,10 +19,12 @@
 from astertrack.net.clock import ReactorClock
 from astertrack.net.links import Link
 from astertrack.net.peers import PeerLink, PeerTable
+from astertrack.net.release_confirmations import ReleaseConfirmations
 from astertrack.net.websocket import ApiFront
 from astertrack.parts import load_parts
 from astertrack.parts.model import PartContext
 from astertrack.store import make_store
+from astertrack.wire.callapi import ClientInfo
 from astertrack.wire.common import MalformedError
 from ospreylug import interface as io
 
@@ -54,13 +56,15 @@
         self.peers = PeerTable(self._make_link, config.settings.home, self.clock,
                                max(MIN_MAX_PEERS, int(config.sockets * PEER_DESCRIPTOR_RATIO)))
         self.address_owners = AddressOwners()
+        self.confirmations = ReleaseConfirmations(self._is_release_pending)
+        self.started_ms = self.clock.now_us() // 1000
         self.parts = load_parts(PartContext(config, reactor, self.clock, self.counts, self.peers))
         policies = [policy for part in self.parts for policy in part.policies()]
         self.router = Router(config.settings, config.seed, self.clock, self.peers, log.info, self.store.record,
                              self._release_orphan, Gate(policies, log.warning, self.counts, bool(policies)),
                              self.counts)
         self.sip_front = SipFront(self.router, self.clock, config.classes, self.counts,
-                                  max(8, int(config.sockets * SIP_DESCRIPTOR_RATIO)))
+                                  max(8, int(config.sockets * SIP_DESCRIPTOR_RATIO)), self.confirmations.update)
         self.destination_paths = {d.name: d.path for d in config.gateway.destinations}
         self.destinations = [Endpoint(d.address, io.Entry(d.name, d.number, d.zone))
                              for d in config.gateway.destinations]
@@ -76,17 +80,34 @@
         link: Link
         if name in self.destination_paths:
             link = ApiLink(name, endpoint.address, self.router, self.clock, self.counts, dial_us,
-                           path=self.destination_paths[name])
+                           path=self.destination_paths[name], client=self._client_info(name),
+                           confirmations=self.confirmations)
         else:
             link = PeerLink(name, endpoint.address, self.router, self.clock, self.counts, dial_us)
         link.dial()
         return link
 
+    def _client_info(self, destination: str) -> ClientInfo:
+        """Return how the router names itself at a destination. Its name and address stay the same after a restart."""
+        config = self.config
+        return ClientInfo(f"{config.name}@{config.host}:{config.port}/{destination}", self.started_ms)
+
     def _release_orphan(self, call_id: str, cause: int) -> None:
-        """Release a call of the process before a restart towards its caller: a client that resumed it, or by SIP."""
+        """Release a call of the process before a restart towards its caller: a client of the API, or by SIP.
+
+        Unless its client is known, callers of both kinds may have it.
+        """
         if self.api_front is None or not self.api_front.release_orphan(call_id, cause):
             self.sip_front.releases.release(call_id, cause)
 
+    def _is_release_pending(self, call_id: str) -> bool:
+        """Return whether a caller is not known to have the release of a call.
+
+        If it is not known who the caller is, the SIP front and the clients that may have placed the call decide.
+        """
+        return call_id in self.sip_front.releases.pending or (
+            self.api_front is not None and self.api_front.is_release_pending(call_id))
+
     def start(self) -> None:
         """Load the peers of the configuration, start the parts, listen, and follow the bulletin."""
         config = self.config
@@ -109,7 +130,8 @@
         if config.gateway.front is not None:
             host, port = config.gateway.front
             self.api_front = ApiFront(self.router, self.clock, config.classes, self.counts,
-                                      config.gateway.path, max(8, int(config.sockets * API_DESCRIPTOR_RATIO)))
+                                      config.gateway.path, max(8, int(config.sockets * API_DESCRIPTOR_RATIO)),
+                                      self.confirmations.update, self.sip_front.releases.withdraw)
             self.listeners.append(listen(self.reactor, host, port, self.api_front, LISTEN_BACKLOG))
         self.bulletin.start()
         log.info("serving", name=config.name, host=config.host, port=config.port, peers=len(initial_peers))
--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -69,7 +69,8 @@
         self.gate = gate if gate is not None else Gate((), log, self.counts)
         self._history, self._recent_attempts = CallHistory(), RecentAttempts()
         longest_hold_us = max(service.hold_us for service in settings.classes)
-        self._orphan_window_end_us = clock.now_us() + max(MIN_ORPHAN_WINDOW_US, ORPHAN_HOLDING_TIMES * longest_hold_us)
+        self.orphan_window_us = max(MIN_ORPHAN_WINDOW_US, ORPHAN_HOLDING_TIMES * longest_hold_us)
+        self._orphan_window_end_us = clock.now_us() + self.orphan_window_us
         self._events: deque[io.Event] = deque()
         self._is_dispatching = False
         self._now_us = 0
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from astertrack.core import NORMAL_CLEARING, AttemptEnd, Request
 from astertrack.net.links import Link, LinkConnection
+from astertrack.net.release_confirmations import ReleaseConfirmations
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
 from astertrack.wire.common import MAX_MESSAGE_BYTES, Malformed
@@ -25,7 +26,8 @@
 
     def __init__(self, link: ApiLink) -> None:
         self.link = link
-        self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address)
+        headers = api.encode_client_headers(link.client) if link.client is not None else {}
+        self.websocket = ws.WebSocket(ws.Role.CLIENT, link.path, link.address, headers=headers)
         self._started_us = 0  # of the handshake
         super().__init__(link, self.websocket)
 
@@ -99,6 +101,8 @@
     """The link to one destination."""
 
     path: str = "/calls"
+    client: api.ClientInfo | None = None  # how the router identifies itself; None: not at all
+    confirmations: ReleaseConfirmations = field(default_factory=lambda: ReleaseConfirmations(lambda call_id: False))
     # With this outcome a set-up is not tried again at the same destination: servers of the API remember the id of a
     # cancelled set-up, and never set it up a second time.
     connection_lost_outcome: io.Outcome = io.Outcome.NUMBER_FAULT
@@ -177,11 +181,8 @@
                 self._end_attempt(call_id, io.Outcome.NUMBER_FAULT, REASON_CAUSES.get(reason, io.Cause.NONE))
             case api.Cancelled(call_id):
                 self._end_attempt(call_id, io.Outcome.CUT)
-            case api.Released(call_id, cause):
-                if call_id in self.pending_set_ups:  # the id of a call that ended there before this set-up
-                    self._end_attempt(call_id, io.Outcome.NUMBER_FAULT)
-                else:
-                    self._end_attempt(call_id, io.Outcome.OK if cause == NORMAL_CLEARING else io.Outcome.CUT)
+            case api.Released():
+                self._on_released(message)
             case api.Unconfirmed():
                 pass  # the destination has restarted; if the call still stands, its release follows
             case api.Error(code, reason, call_id):
@@ -191,6 +192,21 @@
             case api.State(free, size, hold_back):
                 self.router.on_group_state(self.name, io.Load(free=free, size=size, hold_back=hold_back))
 
+    def _on_released(self, released: api.Released) -> None:
+        call_id = released.id
+        if released.confirm:
+            self.confirmations.expect(call_id, self._confirm_release)
+        if call_id in self.pending_set_ups:  # the id of a call that ended there before this set-up
+            self._end_attempt(call_id, io.Outcome.NUMBER_FAULT)
+        else:
+            self._end_attempt(call_id, io.Outcome.OK if released.cause == NORMAL_CLEARING else io.Outcome.CUT)
+        self.confirmations.update(call_id)
+
+    def _confirm_release(self, call_id: str) -> None:
+        """Confirm a release. Without a connection it is received again on the next one, and confirmed there."""
+        self.counts["peer_releases_confirmed"] += 1
+        self._send_message(api.Confirm(call_id))
+
     def _end_attempt(self, call_id: str, outcome: io.Outcome, cause: io.Cause = io.Cause.NONE) -> None:
         self.pending_set_ups.discard(call_id)
         self.router.on_ended(self.name, call_id, AttemptEnd(outcome, cause))
--- a/astertrack/net/caller_releases.py
+++ b/astertrack/net/caller_releases.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Protocol
@@ -59,11 +59,13 @@
 class CallerReleases:
     """The releases that are not sent yet, or not confirmed.
 
-    `connections` are those of all callers, the most recently active one last.
+    `connections` are those of all callers, the most recently active one last. `on_settled` is called with each call id
+    whose release a caller has, as far as can be known.
     """
 
-    def __init__(self, connections: dict[ReleaseConnection, None], clock: Clock, counts: Counter[str]) -> None:
-        self.connections, self.clock, self.counts = connections, clock, counts
+    def __init__(self, connections: dict[ReleaseConnection, None], clock: Clock, counts: Counter[str],
+                 on_settled: Callable[[str], None] = lambda call_id: None) -> None:
+        self.connections, self.clock, self.counts, self.on_settled = connections, clock, counts, on_settled
         self.pending: dict[str, PendingRelease] = {}  # by call id, the oldest first
 
     def release(self, call_id: str, cause: int, preferred: ReleaseConnection | None = None) -> None:
@@ -81,6 +83,11 @@
 
     def confirm(self, call_id: str) -> None:
         """Forget a release that a caller has confirmed."""
+        if self.pending.pop(call_id, None) is not None:
+            self.on_settled(call_id)
+
+    def withdraw(self, call_id: str) -> None:
+        """Forget the release of a call whose caller is somebody else."""
         self.pending.pop(call_id, None)
 
     def check(self) -> None:
@@ -103,7 +110,7 @@
             if not release.tried_connections and now - release.requested_us > RETENTION_US:
                 self._drop(call_id)
         elif self._is_finished(release):
-            del self.pending[call_id]
+            self.confirm(call_id)
         elif now - release.sent_us > RESPONSE_TIMEOUT_US:
             if self._send_on_first(call_id, release, all_candidates):
                 self.counts["sip_releases_repeated"] += 1
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from itertools import islice, takewhile
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any, cast
@@ -50,11 +51,12 @@
     """All connections from callers."""
 
     def __init__(self, router: Router, clock: Clock, classes: dict[str, int], counts: Counter[str],
-                 max_connections: int) -> None:
+                 max_connections: int, on_release_settled: Callable[[str], None] = lambda call_id: None) -> None:
         self.router, self.clock, self.classes, self.counts, self.max_connections = (
             router, clock, classes, counts, max_connections)
         self.connections: dict[CallerConnection, None] = {}  # the one that has been idle for longest first
-        self.releases = CallerReleases(cast(dict[ReleaseConnection, None], self.connections), clock, counts)
+        self.releases = CallerReleases(cast(dict[ReleaseConnection, None], self.connections), clock, counts,
+                                       on_release_settled)
         self.queues = QueueScheduler(clock)
         # A connection that was evicted keeps its descriptor until the next iteration of the reactor.
         self.open_descriptors = 0
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -1,13 +1,15 @@
 """The WebSocket front: callers that speak the call-control API over WebSocket (docs/call-control.md).
 
 No connection owns a call. A set-up without an answer is cancelled when its connection closes. An established call goes
-on, and its release is sent to the client that resumes it, also if the router has restarted since its set-up.
+on, and its release is sent to the client that resumes it, also if the router has restarted since its set-up. A client
+that has given a name is sent its releases on any connection (astertrack/net/client_releases.py).
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import structlog
@@ -17,6 +19,7 @@
 
 from astertrack.core import Request, Router
 from astertrack.net.base import BackpressureProducer, StreamProtocol
+from astertrack.net.client_releases import ClientIdentity, ClientReleases
 from astertrack.net.clock import ReactorClock
 from astertrack.net.ended_calls import EndedCalls
 from astertrack.net.input_queue import InputQueue, QueueScheduler
@@ -29,7 +32,7 @@
 from astertrack.net.partial import PartialMessage
 from astertrack.wire import callapi as api
 from astertrack.wire import websocket as ws
-from astertrack.wire.common import Malformed
+from astertrack.wire.common import Malformed, MalformedError
 
 log = structlog.get_logger()
 SWEEP_INTERVAL_US = 5_000_000  # between removals of ended calls
@@ -54,8 +57,25 @@
     last_message: api.Message
     # Of the set-up; None: unknown, since the call was set up before a restart, and has ended after it.
     digest: bytes | None
+    client: ClientIdentity | None = None  # that is sent its release on any connection; None: it gave no name
     is_ended: bool = False
 
+    @property
+    def awaits_resume(self) -> bool:
+        """Whether the call was released, and its client has to ask for that: it has no connection and no name."""
+        return isinstance(self.last_message, api.Released) and self.connection is None and self.client is None
+
+    @property
+    def is_unclaimed_orphan(self) -> bool:
+        """Whether the call was released, and the previous process set it up for a client that has not resumed it."""
+        return self.awaits_resume and self.digest is None
+
+    def belongs_to(self, connection: ClientConnection) -> bool:
+        """Return whether the client on this connection placed or resumed the call, as far as can be known."""
+        if self.client is not None:
+            return self.client == connection.client
+        return self.connection is None or self.connection is connection
+
     def has_other_fields(self, set_up: api.SetUp) -> bool:
         """Return whether a set-up with the same id is for a different call: any field but two differs."""
         return self.digest is not None and digest_of(set_up) != self.digest
@@ -71,8 +91,11 @@
     """All connections from clients. Implements the core's Caller port for the calls that arrived on any of them."""
 
     def __init__(self, router: Router, clock: ReactorClock, classes: dict[str, int], counts: Counter[str],
-                 path: str, max_connections: int = MAX_CONNECTIONS) -> None:
+                 path: str, max_connections: int = MAX_CONNECTIONS,
+                 on_release_settled: Callable[[str], None] = lambda call_id: None,
+                 on_orphan_resumed: Callable[[str], None] = lambda call_id: None) -> None:
         self.router, self.clock, self.classes, self.counts, self.path = router, clock, classes, counts, path
+        self.on_release_settled, self.on_orphan_resumed = on_release_settled, on_orphan_resumed
         self.max_connections = min(max_connections, MAX_CONNECTIONS)
         self.connections: set[ClientConnection] = set()
         self.calls: dict[str, ApiCall] = {}
@@ -80,6 +103,8 @@
         self.queues = QueueScheduler(clock)
         # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
         self.resumed_orphans: dict[str, ClientConnection] = {}
+        self.absent_orphans: dict[str, ClientIdentity] = {}  # resumed on a connection that has ended; the oldest first
+        self.releases = ClientReleases(clock, counts, router.orphan_window_us, on_release_settled)
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
         self.clock.call_at(self.clock.now_us() + CHECK_INTERVAL_US, self._check_connections)
 
@@ -88,12 +113,13 @@
         if len(self.connections) >= self.max_connections:
             self.counts["ws_connections_refused"] += 1
             return None
-        return ClientConnection(self)
+        return ClientConnection(self, getattr(addr, "host", ""))
 
     def _sweep(self) -> None:
         """Forget the calls whose retention period has expired."""
         now = self.clock.now_us()
         self.ended_calls.expire(now)
+        self.releases.expire()
         self.clock.call_at(now + SWEEP_INTERVAL_US, self._sweep)
 
     def _forget(self, call_id: str) -> None:
@@ -122,6 +148,16 @@
                 self._on_release(connection, request, call)
             case api.Cancel():
                 self._on_cancel(connection, request.id, call)
+            case api.Confirm():
+                if connection.client is not None:
+                    self.releases.confirm(connection.client, request.id)
+
+    def is_release_pending(self, call_id: str) -> bool:
+        """Return whether a client has not been sent, or has not confirmed, the release of this call."""
+        call = self.calls.get(call_id)
+        if call is not None and call.awaits_resume and not call.is_unclaimed_orphan:
+            return True
+        return self.releases.is_pending(call_id)
 
     def _on_set_up(self, connection: ClientConnection, set_up: api.SetUp, call: ApiCall | None) -> None:
         # A router that has restarted releases an id at its destinations before it sends the set-up.
@@ -140,6 +176,7 @@
         elif self.router.may_be_orphan(call_id) and len(self.resumed_orphans) < MAX_RESUMED_ORPHANS:
             self.counts["ws_orphans_resumed"] += 1
             self.resumed_orphans[call_id] = connection
+            self.absent_orphans.pop(call_id, None)
             connection.call_ids.add(call_id)
             connection.send_message(api.Unconfirmed(call_id))
         else:
@@ -148,11 +185,20 @@
     def _send_state(self, connection: ClientConnection, call_id: str, call: ApiCall) -> None:
         """Answer a repeated request, possibly on a new connection: it causes no second set-up."""
         self.counts["ws_repeats"] += 1
+        if call.is_unclaimed_orphan:
+            self.releases.withdraw(call_id)
+            self.on_orphan_resumed(call_id)
+        self._move_call(call_id, call, connection, connection.client)
+        self._send_last_message(call_id, call)
+        self.on_release_settled(call_id)
+
+    @staticmethod
+    def _move_call(call_id: str, call: ApiCall, connection: ClientConnection, client: ClientIdentity | None) -> None:
+        """Send further messages about a call on this connection."""
         if call.connection is not None:
             call.connection.call_ids.discard(call_id)
-        call.connection = connection
+        call.connection, call.client = connection, client
         connection.call_ids.add(call_id)
-        connection.send_message(call.last_message)
 
     def _on_release(self, connection: ClientConnection, release: api.Release, call: ApiCall | None) -> None:
         call_id = release.id
@@ -163,10 +209,17 @@
         elif not self.router.release_call(call_id, release.cause):
             raise api.InvalidMessageError("not-standing", "the call is not answered: cancel it", call_id)
         elif call is not None:
+            if call.belongs_to(connection):
+                self._move_call(call_id, call, connection, None)  # it need not confirm its own release
             self._update_call(call_id, api.Released(call_id, release.cause))
         else:  # set up before a restart
             connection.input.spend(UNKNOWN_RELEASE_COST - 1)
-            self._end_orphan(call_id, release.cause, connection)
+            call = self._take_orphan(call_id, release.cause)
+            if call.belongs_to(connection):
+                self._move_call(call_id, call, connection, None)
+            else:
+                connection.send_message(call.last_message)
+            self._update_call(call_id, call.last_message)
 
     def _on_cancel(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
         if call is None:
@@ -177,16 +230,20 @@
             connection.send_message(call.last_message)
 
     def release_orphan(self, call_id: str, cause: int) -> bool:
-        """Release a call that the previous process set up; return whether a client has resumed it."""
-        connection = self.resumed_orphans.get(call_id)
-        self._end_orphan(call_id, cause, connection)
-        return connection is not None
-
-    def _end_orphan(self, call_id: str, cause: int, connection: ClientConnection | None) -> None:
-        """Remember the end of a call from before a restart like that of any call, and send it to its client."""
-        self.resumed_orphans.pop(call_id, None)
-        self.calls[call_id] = ApiCall(connection, api.Released(call_id, cause), None)
-        self._update_call(call_id, api.Released(call_id, cause))
+        """Release a call that the previous process set up; return whether its client is known."""
+        call = self._take_orphan(call_id, cause)
+        self._update_call(call_id, call.last_message)
+        if call.is_unclaimed_orphan:
+            self.releases.release_unclaimed(call_id, cause)
+            return False
+        return True
+
+    def _take_orphan(self, call_id: str, cause: int) -> ApiCall:
+        """Remember the end of a call from before a restart like that of any call, for the client that resumed it."""
+        connection = self.resumed_orphans.pop(call_id, None)
+        client = self.absent_orphans.pop(call_id, None) if connection is None else connection.client
+        call = self.calls[call_id] = ApiCall(connection, api.Released(call_id, cause), None, client)
+        return call
 
     def _set_up(self, connection: ClientConnection, message: api.SetUp) -> None:
         service = self.classes.get(message.service)
@@ -210,7 +267,9 @@
         self.ended_calls.remove(message.id)
         max_deadline_us = now + self.router.settings.classes[service].deadline_us
         self.counts["ws_set_ups"] += 1
-        self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), digest_of(message))
+        self.releases.withdraw(message.id)
+        self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), digest_of(message),
+                                                connection.client)
         connection.call_ids.add(message.id)
         self.resumed_orphans.pop(message.id, None)
         self.router.offer(Request(
@@ -224,9 +283,12 @@
     def on_closed(self, connection: ClientConnection) -> None:
         """Cancel the unanswered set-ups of a connection that has closed; established calls go on."""
         self.connections.discard(connection)
+        if connection.client is not None:
+            self.releases.remove_connection(connection, connection.client)
         for call_id in connection.call_ids:
             if self.resumed_orphans.get(call_id) is connection:
                 del self.resumed_orphans[call_id]
+                self._keep_absent_orphan(call_id, connection.client)
             call = self.calls.get(call_id)
             if call is None or call.connection is not connection:
                 continue
@@ -236,6 +298,15 @@
                 self._update_call(call_id, api.Cancelled(call_id))
         connection.call_ids.clear()
 
+    def _keep_absent_orphan(self, call_id: str, client: ClientIdentity | None) -> None:
+        """Remember whose call it is, for a client with a name: it may come back without knowing the call."""
+        if client is None:
+            return
+        self.absent_orphans[call_id] = client
+        if len(self.absent_orphans) > MAX_RESUMED_ORPHANS:
+            del self.absent_orphans[next(iter(self.absent_orphans))]
+            self.counts["ws_orphans_dropped"] += 1
+
     # ---- messages from the core
 
     def _update_call(self, call_id: str, message: api.Message) -> None:
@@ -247,7 +318,14 @@
         if isinstance(message, ENDING_MESSAGES):
             call.is_ended = True
             self.ended_calls.add(call_id, self.clock.now_us())
-        if call.connection is not None:
+        self._send_last_message(call_id, call)
+
+    def _send_last_message(self, call_id: str, call: ApiCall) -> None:
+        """Send the latest message about a call to its client: if it is connected; a release also later, by its name."""
+        message = call.last_message
+        if call.client is not None and isinstance(message, api.Released):
+            self.releases.release(call.client, call_id, message.cause)
+        elif call.connection is not None:
             call.connection.send_message(message)
 
     def on_answered(self, call_id: str, description: bytes) -> None:
@@ -274,8 +352,9 @@
 class ClientConnection(StreamProtocol):
     """The connection of one client."""
 
-    def __init__(self, front: ApiFront) -> None:
-        self.front, self.counts = front, front.counts
+    def __init__(self, front: ApiFront, host: str) -> None:
+        self.front, self.counts, self.host = front, front.counts, host
+        self.client: ClientIdentity | None = None  # None: the client has given no name
         self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
         self.last_received_us = front.clock.now_us()
         self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
@@ -320,6 +399,8 @@
         self.partial_message.update(now)
         for event in events:
             match event:
+                case ws.Opened():
+                    self._identify(self.websocket.received_headers)
                 case ws.Text(raw):
                     self._on_text(raw, has_left)
                 case ws.Closed():
@@ -332,6 +413,23 @@
         self.write(self.websocket.take_output())
         return self.websocket.message_count - messages_before
 
+    def _identify(self, headers: dict[str, str]) -> None:
+        """Note who the client is, if it says so, and send it the releases that are held for it."""
+        try:
+            info = api.decode_client_headers(headers)
+        except MalformedError as error:
+            self.counts["ws_errors_sent"] += 1
+            self.send_message(api.Error("bad-field", str(error)))
+            return
+        if info is not None:
+            self.client = ClientIdentity(info.name, self.host)
+            started_us = None if info.started_ms is None else info.started_ms * 1000
+            self.front.releases.add_connection(self, self.client, started_us)
+
+    def send_release(self, call_id: str, cause: int) -> None:
+        """Send a release that the client has to confirm."""
+        self.send_message(api.Released(call_id, cause, confirm=True))
+
     def _on_text(self, raw: str, has_left: bool) -> None:
         try:
             request = api.decode_request(raw)
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -9,10 +9,16 @@
 import json
 from dataclasses import asdict, dataclass
 from typing import Any
+from urllib.parse import quote
 
-from astertrack.wire.common import MAX_MESSAGE_BYTES
+from astertrack.wire.common import MAX_MESSAGE_BYTES, MalformedError
 from astertrack.wire.sip import CALL_ID_PATTERN
 
+# Headers of the handshake by which a client identifies itself; the names are in lower case, as they are decoded.
+CLIENT_NAME_HEADER, CLIENT_STARTED_HEADER = "x-client-name", "x-client-started"
+MAX_CLIENT_NAME_LENGTH = 128
+MAX_STARTED_MS = 2**53
+
 
 class InvalidMessageError(Exception):
     """A message that cannot be processed, with the code and reason of the error message that answers it."""
@@ -61,6 +67,13 @@
     id: str
 
 
+@dataclass(slots=True)
+class Confirm:
+    """Client: the release of a call, which asked for it, was received and passed on."""
+
+    id: str
+
+
 @dataclass(slots=True)
 class Progress:
     """Server: the call is being processed."""
@@ -106,6 +119,7 @@
 
     id: str
     cause: int = 16
+    confirm: bool | None = None  # true: the server sends it again on the client's next connection until it is confirmed
 
 
 @dataclass(slots=True)
@@ -133,10 +147,10 @@
     id: str | None = None
 
 
-Request = SetUp | Cancel | Release | Resume
+Request = SetUp | Cancel | Release | Resume | Confirm
 Message = Request | Progress | Answer | Refused | Failed | Cancelled | Released | Unconfirmed | State | Error
 REQUEST_TYPES: dict[str, type[Any]] = {"setup": SetUp, "cancel": Cancel, "release": Release,
-                                       "resume": Resume}
+                                       "resume": Resume, "confirm": Confirm}
 REPLY_TYPES: dict[str, type[Any]] = {
     "progress": Progress, "answer": Answer, "refused": Refused, "failed": Failed, "cancelled": Cancelled,
     "released": Released, "unconfirmed": Unconfirmed, "state": State, "error": Error}
@@ -147,7 +161,7 @@
 INTEGER_RANGES = {"dest": (-1, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
                   "cause": (1, 127)}
 NUMBER_RANGES = {"width": (1e-6, 64.0), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
-BOOLEAN_FIELDS = ("transit", "again", "new_id")
+BOOLEAN_FIELDS = ("transit", "again", "new_id", "confirm")
 REQUIRED_FIELDS: dict[type[Any], tuple[str, ...]] = {
     SetUp: ("id", "service", "number", "deadline"), Error: ("code", "reason"), State: ()}
 
@@ -221,3 +235,38 @@
     """Encode a message as JSON; fields that are None are left out."""
     fields = {KEY_NAMES.get(name, name): value for name, value in asdict(message).items() if value is not None}
     return json.dumps({"type": TYPE_NAMES[type(message)], **fields}, separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True)
+class ClientInfo:
+    """What a client says about itself in its handshake."""
+
+    name: str  # the same after a restart of the client
+    # When a process started that does not know the calls of the one before it, in Unix milliseconds; None: the client
+    # knows all its calls.
+    started_ms: int | None = None
+
+
+def encode_client_headers(info: ClientInfo) -> dict[str, str]:
+    """Return the handshake headers of a client."""
+    headers = {CLIENT_NAME_HEADER: quote(info.name, errors="replace")[:MAX_CLIENT_NAME_LENGTH]}
+    if info.started_ms is not None:
+        headers[CLIENT_STARTED_HEADER] = str(info.started_ms)
+    return headers
+
+
+def decode_client_headers(headers: dict[str, str]) -> ClientInfo | None:
+    """Return what a client says about itself, or None if it says nothing. Raises MalformedError.
+
+    The name stays as it was encoded, as it is only compared.
+    """
+    name, started = headers.get(CLIENT_NAME_HEADER), headers.get(CLIENT_STARTED_HEADER)
+    if name is None:
+        return None
+    if not 0 < len(name) <= MAX_CLIENT_NAME_LENGTH or not (name.isascii() and name.isprintable()):
+        raise MalformedError(f"header {CLIENT_NAME_HEADER}: expected 1 to {MAX_CLIENT_NAME_LENGTH} ASCII characters")
+    if started is None:
+        return ClientInfo(name)
+    if not (started.isascii() and started.isdecimal() and len(started) <= 16 and int(started) < MAX_STARTED_MS):
+        raise MalformedError(f"header {CLIENT_STARTED_HEADER}: expected a Unix time in milliseconds")
+    return ClientInfo(name, int(started))
--- a/astertrack/wire/websocket.py
+++ b/astertrack/wire/websocket.py
@@ -9,7 +9,7 @@
 import hashlib
 import secrets
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
@@ -109,11 +109,14 @@
 
 
 class WebSocket:
-    """One end of one connection; path and host are those of the handshake request."""
+    """One end of one connection; path, host and the further headers are those of the handshake request."""
 
     def __init__(self, role: Role, path: str = "/", host: str = "",
-                 random_bytes: Callable[[int], bytes] = secrets.token_bytes) -> None:
+                 random_bytes: Callable[[int], bytes] = secrets.token_bytes,
+                 headers: Mapping[str, str] | None = None) -> None:
         self.role, self.path, self.host, self._random_bytes = role, path, host, random_bytes
+        self._headers = dict(headers or {})
+        self.received_headers: dict[str, str] = {}  # of the other end's handshake, their names in lower case
         self.state = State.CONNECTING
         self._buffer = bytearray()
         self._output = bytearray()
@@ -135,9 +138,10 @@
     def connect(self) -> None:
         """Start the handshake as a client."""
         self._key = base64.b64encode(self._random_bytes(16)).decode()
+        further_headers = "".join(f"{name}: {value}\r\n" for name, value in self._headers.items())
         self._output += (f"GET {self.path} HTTP/1.1\r\nHost: {self.host}\r\nUpgrade: websocket\r\n"
                          f"Connection: Upgrade\r\nSec-WebSocket-Key: {self._key}\r\n"
-                         "Sec-WebSocket-Version: 13\r\n\r\n").encode()
+                         f"Sec-WebSocket-Version: 13\r\n{further_headers}\r\n").encode()
 
     def receive(self, data: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete.
@@ -185,6 +189,7 @@
             self._check_response(start_line, headers)
         self.state = State.OPEN
         self.message_count += 1
+        self.received_headers = headers
         events.append(Opened())
         return True
 
