Keep calls and releases at a destination of the API while its process restarts

Cause: two refused dials mean on the platform that an exchange's process and its calls are gone. Links to destinations of the API took over the rule, and destinations may be routers, whose calls stand without them.

Change: such links keep calls and waiting releases over refused dials. Releases that wait for a connection are bounded, 2,000 a link; before, nothing bounded them where dials time out.

--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -103,6 +103,8 @@
     path: str = "/calls"
     client: api.ClientInfo | None = None  # how the router identifies itself; None: not at all
     confirmations: ReleaseConfirmations = field(default_factory=lambda: ReleaseConfirmations(lambda call_id: False))
+    # A destination may be a router itself: its process may end while its calls stand at the exchanges behind it.
+    calls_end_with_process: bool = False
     # With this outcome a set-up is not tried again at the same destination: servers of the API remember the id of a
     # cancelled set-up, and never set it up a second time.
     connection_lost_outcome: io.Outcome = io.Outcome.NUMBER_FAULT
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -28,6 +28,7 @@
 # The peer's process counts as gone after this many consecutive refused dials. A single refused dial, like a reset, does
 # not prove that it has ended.
 REFUSED_DIALS_UNTIL_LOST = 2
+MAX_QUEUED_RELEASES = 2_000  # of one link; beyond it the oldest are dropped
 # A probe is sent after this time without received bytes. A healthy peer usually reports its trunk groups more often.
 KEEPALIVE_IDLE_US = 250_000
 # The connection is dropped after this time without received bytes, that is, if the probe is not answered either: a new
@@ -152,6 +153,7 @@
     # Sent on the present connection, perhaps in vain: with the time of sending in microseconds, the oldest first.
     undelivered_releases: dict[str, tuple[QueuedRelease, int]] = field(default_factory=dict)
     connection_lost_outcome: io.Outcome = io.Outcome.CUT  # of set-ups whose connection is lost
+    calls_end_with_process: bool = True  # the established calls at the peer end when its process does
     _connector: Any = None
     _refused_dials: int = 0
     _connected_us: int = 0
@@ -227,7 +229,7 @@
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
-            self.queued_releases |= dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, True))
+            self._queue_releases(dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, True)))
 
     def _is_silent(self, now_us: int) -> bool:
         """Return whether the peer has sent nothing for the timeout, and has had the time to answer a probe.
@@ -291,7 +293,7 @@
         self.counts[f"peer_dials_{failure.value}"] += 1
         queued_set_ups, self.queued_set_ups = self.queued_set_ups, {}
         self._refused_dials = self._refused_dials + 1 if failure is DialFailure.REFUSED else 0
-        if self._refused_dials >= REFUSED_DIALS_UNTIL_LOST:
+        if self._refused_dials >= REFUSED_DIALS_UNTIL_LOST and self.calls_end_with_process:
             self.queued_releases.clear()
             self.router.on_peer_lost(self.name)  # the process is gone, and its calls with it
         for call_id in queued_set_ups:
@@ -346,9 +348,9 @@
         if end is not ConnectionEnd.CLOSED:
             log.warning("connection to a peer ended", peer=self.name, why=end.value, set_ups=len(pending))
         undelivered, self.undelivered_releases = self.undelivered_releases, {}
-        self.queued_releases |= {call_id: replace(release, may_never_be_sent=is_unresponsive)
-                                 for call_id, (release, _) in undelivered.items()}
-        self.queued_releases |= dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive))
+        self._queue_releases({call_id: replace(release, may_never_be_sent=is_unresponsive)
+                              for call_id, (release, _) in undelivered.items()})
+        self._queue_releases(dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive)))
         for call_id in pending:
             self.router.on_ended(self.name, call_id, AttemptEnd(self.connection_lost_outcome))
         if self.clock.now_us() - self._connected_us < MIN_CONNECTED_US:
@@ -413,9 +415,16 @@
             self.counts["peer_releases_sent"] += 1
             self._send_release(call_id, QueuedRelease(cause, answered))
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
-            self.queued_releases[call_id] = QueuedRelease(cause, answered)
+            self._queue_releases({call_id: QueuedRelease(cause, answered)})
             self.dial()
 
+    def _queue_releases(self, releases: dict[str, QueuedRelease]) -> None:
+        """Keep releases for the next connection; of too many, the oldest are dropped."""
+        self.queued_releases |= releases
+        while len(self.queued_releases) > MAX_QUEUED_RELEASES:
+            del self.queued_releases[next(iter(self.queued_releases))]
+            self.counts["peer_releases_dropped"] += 1
+
     def is_release_pending(self, call_id: str, also_if_unresponsive: bool = True) -> bool:
         """Return whether a release of this call waits for a connection, also between two dials."""
         queued = self.queued_releases.get(call_id)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -27,6 +27,7 @@
 from astertrack.net.links import (
     KEEPALIVE_IDLE_US,
     LIVENESS_CHECK_INTERVAL_US,
+    MAX_QUEUED_RELEASES,
     MAX_UNRESPONSIVE_TIMEOUT_US,
     PEER_LOST_TIMEOUT_US,
     RECONNECT_INTERVAL_US,
@@ -368,6 +369,16 @@
     assert peer.table.is_release_pending(FIRST_CALL)
 
 
+def test_the_releases_that_wait_for_a_connection_are_bounded() -> None:
+    peer = PeerHarness()
+    for number in range(MAX_QUEUED_RELEASES + 3):
+        assert peer.router.release_call(f"{number:016x}", 16)
+    assert len(peer.link.queued_releases) == MAX_QUEUED_RELEASES
+    assert peer.counts["peer_releases_dropped"] == 3
+    peer.connect()
+    assert [call for _, call in peer.sent_messages()] == [f"{n + 3:016x}" for n in range(MAX_QUEUED_RELEASES)]
+
+
 def test_a_lost_attempt_at_an_unresponsive_peer_delays_set_ups_to_that_peer_only() -> None:
     peer = connected_peer(FIRST_CALL)
     peer.pass_time(UNRESPONSIVE_TIMEOUT_US + 2 * LIVENESS_CHECK_INTERVAL_US)
--- a/tests/test_restart_chains.py
+++ b/tests/test_restart_chains.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import time
 
 import pytest
+from test_program import new_call_id, run
 
-from laboratory.restart_chains import Scenario, run_scenario
+from laboratory.restart_chains import LOST_RELEASE_S, Scenario, run_scenario
+from laboratory.stand_ins import ApiNode, SipCaller, running_router, wait_until
 
 HOLD_S = 0.5  # between a restart and the ends of the calls
 
@@ -26,3 +30,37 @@
     assert (result.stood, result.released_in_time) == (scenario.calls, scenario.calls)
     assert (result.released_early, result.released_twice, result.strangers_told) == (0, 0, 0)
     assert result.unanswered == 0
+
+
+@pytest.mark.parametrize("stopped_by", ["SIGKILL", "SIGTERM"])
+def test_calls_stand_on_while_a_router_that_is_their_destination_restarts(stopped_by: str) -> None:
+    # Guards against docs/incidents/13: after two refused dials the calls were cut, which stood on at the exchange.
+    scenario = Scenario("far", restarted=("far",), stop_signal=signal.Signals[stopped_by], hold_s=HOLD_S)
+    result = asyncio.run(run_scenario(scenario))
+    assert (result.stood, result.released_in_time) == (scenario.calls, scenario.calls)
+    assert (result.released_early, result.released_twice, result.strangers_told) == (0, 0, 0)
+
+
+def test_releases_by_callers_while_their_destination_restarts_reach_the_exchange() -> None:
+    # Guards against docs/incidents/13: after two refused dials they were forgotten.
+    scenario = Scenario("far", restarted=("far",), caller_hangs_up=True, calls_end_while_down=True, hold_s=HOLD_S)
+    result = asyncio.run(run_scenario(scenario))
+    assert (result.stood, result.reached_the_exchange) == (scenario.calls, scenario.calls)
+
+
+def test_calls_at_a_destination_that_does_not_come_back_are_released_in_time() -> None:
+    async def work() -> None:
+        destination, call = await ApiNode().start(), new_call_id()
+        async with running_router({}, {1: destination}) as router:
+            sip = await SipCaller.connect(router.sip_port)
+            sip.invite(call, "long-1", 1)
+            await wait_until(lambda: call in sip.final_responses)
+            ended_s = time.monotonic()
+            destination.stop()
+            while call not in sip.received_byes and time.monotonic() < ended_s + LOST_RELEASE_S:
+                if sip.reader.at_eof():  # the router closes idle connections
+                    sip = await SipCaller.connect(router.sip_port)
+                sip.send_request("OPTIONS", "ping")
+                await asyncio.sleep(0.1)
+            assert call in sip.received_byes
+    run(work)
