Release a call at the peers when a set-up from before a restart is cancelled

Seen in a new test: an exchange answers a set-up, the destination that sent it is killed before it passes the answer on, and the call stands at the exchange with nobody at its other end (docs/incidents/14).

Cause: the router before the destination sends cancel on the next connection; the restarted destination did not know the id, and did nothing but answer unknown-call.

Change: while a call from before a restart may stand, the WebSocket front releases the id of an unknown cancel at every peer. The answer stays unknown-call, and the id is not remembered, so that a set-up under it is treated as before. A first form that answered cancelled broke test_invalid_messages_of_a_client_get_errors_and_affect_no_other_call, rightly.

--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -154,6 +154,13 @@
         """Return whether the call may be an orphan: set up by the previous process, and still established at a peer."""
         return self.is_unknown(call_id) and self.now_us() < self._orphan_window_end_us
 
+    def release_if_orphan(self, call_id: str) -> bool:
+        """Release a call at all peers if it may be an orphan; return whether it may. Its id stays unknown."""
+        if not self.may_be_orphan(call_id):
+            return False
+        self._release_at_all_peers(call_id, NORMAL_CLEARING)
+        return True
+
     def _release_at_all_peers(self, call_id: str, cause: int) -> None:
         """Release a call that only the previous process knew, and that may be established at any peer."""
         self.counts["releases_of_before"] += 1
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -223,6 +223,8 @@
 
     def _on_cancel(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
         if call is None:
+            if self.router.release_if_orphan(call_id):  # its answer may have been lost with the previous process
+                connection.input.spend(UNKNOWN_RELEASE_COST - 1)
             raise api.InvalidMessageError("unknown-call", "no such call", call_id)
         if self.router.cancel(call_id):
             self._update_call(call_id, api.Cancelled(call_id))
--- a/tests/test_client_releases.py
+++ b/tests/test_client_releases.py
@@ -350,6 +350,18 @@
     assert len(messages(transport, "released")) == 1
 
 
+def test_a_cancel_of_a_call_from_before_a_restart_releases_it_at_every_peer() -> None:
+    # Guards against docs/incidents/14: the call stood on where it had been answered.
+    harness = FrontHarness()
+    connection, transport = harness.connect()
+    send(connection, type="cancel", id=CALL)
+    assert sorted(harness.router_harness.peer_releases) == [(f"x{n}", CALL, NORMAL) for n in range(4)]
+    harness.router_harness.pass_time(10 * ORPHAN_WINDOW_US)  # no such call stands any more
+    send(connection, type="cancel", id="2" * 16)
+    assert len(harness.router_harness.peer_releases) == 4
+    assert [m["code"] for m in messages(transport, "error")] == 2 * ["unknown-call"]
+
+
 def test_a_client_that_resumes_a_call_takes_its_release_from_those_that_may_have_placed_it() -> None:
     harness = FrontHarness()
     assert not harness.front.release_orphan(CALL, NORMAL)
--- a/tests/test_restart_chains.py
+++ b/tests/test_restart_chains.py
@@ -9,7 +9,7 @@
 import pytest
 from test_program import new_call_id, run
 
-from laboratory.restart_chains import LOST_RELEASE_S, Scenario, run_scenario
+from laboratory.restart_chains import LOST_RELEASE_S, ReleasingNode, Scenario, run_scenario, running_chain
 from laboratory.stand_ins import ApiNode, SipCaller, running_router, wait_until
 
 HOLD_S = 0.5  # between a restart and the ends of the calls
@@ -64,3 +64,30 @@
                 await asyncio.sleep(0.1)
             assert call in sip.received_byes
     run(work)
+
+
+class SlowNode(ReleasingNode):
+    """An exchange that takes half a second to answer."""
+
+    async def respond(self, call: str, number: str, description: bytes, writer: asyncio.StreamWriter) -> None:
+        """Respond late."""
+        await asyncio.sleep(0.5)
+        await super().respond(call, number, description, writer)
+
+
+def test_a_call_whose_answer_was_lost_with_its_destination_does_not_stand_on_at_the_exchange() -> None:
+    # Guards against docs/incidents/14: the restarted destination did not know the set-up that was cancelled.
+    async def work() -> None:
+        async with running_chain(Scenario("answer lost", restarted=("far",))) as chain:
+            chain.exchange = exchange = SlowNode()
+            await chain.start()
+            await chain.connect_caller()
+            call = chain.place_call()
+            await wait_until(lambda: exchange.request_counts[call])
+            chain.processes["far"].process.send_signal(signal.SIGSTOP)
+            await wait_until(lambda: call in exchange.established_calls)
+            await chain.restart([])
+            await wait_until(lambda: call in chain.sip_callers[0].final_responses)
+            assert chain.sip_callers[0].final_responses[call][0].status >= 400
+            await wait_until(lambda: call not in exchange.established_calls)
+    run(work)
