Keep the releases of a link in a class of their own

Cause: Link kept the releases that wait for a connection, and those that may have been lost with one, as two dictionaries beside the state of its connection; four methods merged and bounded them.

Result: no change of behaviour. The tests of links, partial messages and restarts pass (74).

--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -112,6 +112,7 @@
 
     def __post_init__(self) -> None:
         """Begin with the timeout of a dial."""
+        super().__post_init__()
         self.handshake_timeout_us = self.dial_timeout_us
 
     def on_handshake_timeout(self) -> None:
--- a/astertrack/net/links.py
+++ b/astertrack/net/links.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
@@ -18,6 +18,7 @@
 from astertrack.core.model import Timer
 from astertrack.net.base import StreamProtocol, is_failure_of_type
 from astertrack.net.clock import ReactorClock
+from astertrack.net.link_releases import LinkReleases, QueuedRelease
 from astertrack.net.pacing import MessagePacer
 from astertrack.net.partial import MessageDecoder, PartialMessageTimer
 from ospreylug import interface as io
@@ -28,7 +29,6 @@
 # The peer's process counts as gone after this many consecutive refused dials. A single refused dial, like a reset, does
 # not prove that it has ended.
 REFUSED_DIALS_UNTIL_LOST = 2
-MAX_QUEUED_RELEASES = 2_000  # of one link; beyond it the oldest are dropped
 # A probe is sent after this time without received bytes. A healthy peer usually reports its trunk groups more often.
 KEEPALIVE_IDLE_US = 250_000
 # The connection is dropped after this time without received bytes, that is, if the probe is not answered either: a new
@@ -42,8 +42,6 @@
 PEER_LOST_TIMEOUT_US = 6_750_000
 LIVENESS_CHECK_INTERVAL_US = 100_000
 MIN_PROBE_WAIT_US = UNRESPONSIVE_TIMEOUT_US - KEEPALIVE_IDLE_US - LIVENESS_CHECK_INTERVAL_US
-# Bytes that arrive this long after a release, which is more than a round trip, show that the connection carried it.
-RELEASE_DELIVERY_US = 100_000
 
 
 class ConnectionEnd(Enum):
@@ -125,15 +123,6 @@
         self.on_failure(classify_dial_failure(reason))
 
 
-@dataclass(frozen=True, slots=True)
-class QueuedRelease:
-    """A release that waits for the connection."""
-
-    cause: int
-    is_answered: bool  # whether the call was answered; otherwise it cancels a set-up
-    may_never_be_sent: bool = False  # the peer was unresponsive
-
-
 @dataclass(eq=False)
 class Link:
     """State of the link to one peer. Subclasses implement the protocol that the peer speaks."""
@@ -149,9 +138,7 @@
     # Set-ups that wait for the connection, by call id: the request and its deadline in microseconds.
     queued_set_ups: dict[str, tuple[Request, int]] = field(default_factory=dict)
     pending_set_ups: set[str] = field(default_factory=set)  # sent on the connection and neither answered nor ended
-    queued_releases: dict[str, QueuedRelease] = field(default_factory=dict)  # by call id
-    # Sent on the present connection, perhaps in vain: with the time of sending in microseconds, the oldest first.
-    undelivered_releases: dict[str, tuple[QueuedRelease, int]] = field(default_factory=dict)
+    releases: LinkReleases = field(init=False)
     connection_lost_outcome: io.Outcome = io.Outcome.CUT  # of set-ups whose connection is lost
     calls_end_with_process: bool = True  # the established calls at the peer end when its process does
     _connector: Any = None
@@ -163,6 +150,10 @@
     _unresponsive_timeout_us: int = UNRESPONSIVE_TIMEOUT_US
     _reconnect_timer: Timer | None = None
 
+    def __post_init__(self) -> None:
+        """Begin without releases."""
+        self.releases = LinkReleases(self.counts)
+
     # ---- implemented by subclasses
 
     def build_connection(self) -> StreamProtocol:
@@ -192,11 +183,7 @@
         self._last_received_us = now
         if now - self._connected_us > KEEPALIVE_IDLE_US:
             self._has_responded = True
-        while self.undelivered_releases:
-            call_id, (_, sent_us) = next(iter(self.undelivered_releases.items()))
-            if now - sent_us < RELEASE_DELIVERY_US:
-                break
-            del self.undelivered_releases[call_id]
+        self.releases.on_bytes_received(now)
         if self._probe_sent_us is not None:
             response_time_us = now - self._probe_sent_us
             self._probe_sent_us = None
@@ -229,7 +216,8 @@
             self.probe()
         if now - self._last_received_us > PEER_LOST_TIMEOUT_US and (calls := self.router.on_peer_lost(self.name)):
             log.warning("releasing calls at an unresponsive peer", peer=self.name, calls=len(calls))
-            self._queue_releases(dict.fromkeys(calls, QueuedRelease(TEMPORARY_FAILURE, True, True)))
+            for call_id in calls:
+                self.releases.queue(call_id, QueuedRelease(TEMPORARY_FAILURE, True, True))
 
     def _is_silent(self, now_us: int) -> bool:
         """Return whether the peer has sent nothing for the timeout, and has had the time to answer a probe.
@@ -275,15 +263,13 @@
 
         A release names only its call. Because of this order, it cannot release a later attempt, however late it is.
         """
-        queued_releases, self.queued_releases = self.queued_releases, {}
-        for call_id, queued in queued_releases.items():
+        for call_id, queued in self.releases.take_queued().items():
             self._send_release(call_id, queued)
             self.router.on_attempt_released(call_id)
 
     def _send_release(self, call_id: str, release: QueuedRelease) -> None:
         self.send_release(call_id, release.cause, release.is_answered)
-        self.undelivered_releases.pop(call_id, None)
-        self.undelivered_releases[call_id] = release, self.clock.now_us()
+        self.releases.on_sent(call_id, release, self.clock.now_us())
 
     def on_dial_failed(self, failure: DialFailure) -> None:
         """End the queued set-ups, which were never sent, and dial again later."""
@@ -294,7 +280,7 @@
         queued_set_ups, self.queued_set_ups = self.queued_set_ups, {}
         self._refused_dials = self._refused_dials + 1 if failure is DialFailure.REFUSED else 0
         if self._refused_dials >= REFUSED_DIALS_UNTIL_LOST and self.calls_end_with_process:
-            self.queued_releases.clear()
+            self.releases.clear()
             self.router.on_peer_lost(self.name)  # the process is gone, and its calls with it
         for call_id in queued_set_ups:
             self.router.on_ended(self.name, call_id, AttemptEnd(io.Outcome.UNREACHABLE))
@@ -347,10 +333,9 @@
         pending, self.pending_set_ups = self.pending_set_ups, set()
         if end is not ConnectionEnd.CLOSED:
             log.warning("connection to a peer ended", peer=self.name, why=end.value, set_ups=len(pending))
-        undelivered, self.undelivered_releases = self.undelivered_releases, {}
-        self._queue_releases({call_id: replace(release, may_never_be_sent=is_unresponsive)
-                              for call_id, (release, _) in undelivered.items()})
-        self._queue_releases(dict.fromkeys(pending, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive)))
+        self.releases.on_connection_lost(is_unresponsive)
+        for call_id in pending:
+            self.releases.queue(call_id, QueuedRelease(NORMAL_CLEARING, False, is_unresponsive))
         for call_id in pending:
             self.router.on_ended(self.name, call_id, AttemptEnd(self.connection_lost_outcome))
         if self.clock.now_us() - self._connected_us < MIN_CONNECTED_US:
@@ -371,7 +356,7 @@
         Without this, links to machines that are long gone would dial forever.
         """
         self.retired = True
-        self.queued_releases.clear()
+        self.releases.clear()
         if self._reconnect_timer is not None:
             self._reconnect_timer.cancel()
             self._reconnect_timer = None
@@ -383,7 +368,7 @@
             self.router.on_ended(self.name, call_id, AttemptEnd(io.Outcome.UNREACHABLE))
         if self.connection is not None:
             self.abort_connection(self.connection)
-            self.queued_releases.clear()  # the end of the connection added releases of its pending set-ups
+            self.releases.clear()  # the end of the connection added releases of its pending set-ups
 
     # ---- calls
 
@@ -415,17 +400,9 @@
             self.counts["peer_releases_sent"] += 1
             self._send_release(call_id, QueuedRelease(cause, answered))
         elif answered:  # otherwise the call would stay established at the peer, and hold its circuits
-            self._queue_releases({call_id: QueuedRelease(cause, answered)})
+            self.releases.queue(call_id, QueuedRelease(cause, answered))
             self.dial()
 
-    def _queue_releases(self, releases: dict[str, QueuedRelease]) -> None:
-        """Keep releases for the next connection; of too many, the oldest are dropped."""
-        self.queued_releases |= releases
-        while len(self.queued_releases) > MAX_QUEUED_RELEASES:
-            del self.queued_releases[next(iter(self.queued_releases))]
-            self.counts["peer_releases_dropped"] += 1
-
     def is_release_pending(self, call_id: str, also_if_unresponsive: bool = True) -> bool:
         """Return whether a release of this call waits for a connection, also between two dials."""
-        queued = self.queued_releases.get(call_id)
-        return queued is not None and (also_if_unresponsive or not queued.may_never_be_sent)
+        return self.releases.is_pending(call_id, also_if_unresponsive)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -24,14 +24,13 @@
 
 from astertrack.core import Request
 from astertrack.net.addresses import Endpoint
+from astertrack.net.link_releases import MAX_QUEUED_RELEASES, RELEASE_DELIVERY_US
 from astertrack.net.links import (
     KEEPALIVE_IDLE_US,
     LIVENESS_CHECK_INTERVAL_US,
-    MAX_QUEUED_RELEASES,
     MAX_UNRESPONSIVE_TIMEOUT_US,
     PEER_LOST_TIMEOUT_US,
     RECONNECT_INTERVAL_US,
-    RELEASE_DELIVERY_US,
     UNRESPONSIVE_TIMEOUT_US,
 )
 from astertrack.net.partial import STALLED_MESSAGE_TIMEOUT_US
@@ -245,7 +244,7 @@
     peer.pass_time(3_000_000)
     assert len(peer.reactor.dials) == dials
     assert peer.reactor.stopped_dials == 1
-    assert not peer.link.queued_set_ups and not peer.link.pending_set_ups and not peer.link.queued_releases
+    assert not peer.link.queued_set_ups and not peer.link.pending_set_ups and not peer.link.releases.queued
     peer.connect()  # established although the dial was stopped
     assert peer.transports[-1].aborted
     assert not peer.sent_messages()
@@ -373,7 +372,7 @@
     peer = PeerHarness()
     for number in range(MAX_QUEUED_RELEASES + 3):
         assert peer.router.release_call(f"{number:016x}", 16)
-    assert len(peer.link.queued_releases) == MAX_QUEUED_RELEASES
+    assert len(peer.link.releases.queued) == MAX_QUEUED_RELEASES
     assert peer.counts["peer_releases_dropped"] == 3
     peer.connect()
     assert [call for _, call in peer.sent_messages()] == [f"{n + 3:016x}" for n in range(MAX_QUEUED_RELEASES)]
@@ -440,7 +439,7 @@
         assert not link.pending_set_ups or link.connection is not None
         assert all(count == 1 for count in self.peer.router_harness.finals.values())
         assert link.connection is not None or self.peer.reactor.is_dial_pending or link._reconnect_timer is not None
-        assert len(link.queued_releases) <= self.call_count
+        assert len(link.releases.queued) <= self.call_count
 
 
 TestLinkStates = LinkStates.TestCase
