Give connections of the WebSocket front and the owners of orphans modules of their own

A set-up under the id of an orphan now also forgets a named client that had resumed it and left.

Result: otherwise no change of behaviour. The tests of the front, named clients, restarts, the program, abandoned requests and pacing pass (95).

--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -12,39 +12,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-import structlog
 from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import Factory, connectionDone
-from twisted.python.failure import Failure
+from twisted.internet.protocol import Factory
 
 from astertrack.core import Request, Router
-from astertrack.net.base import BackpressureProducer, StreamProtocol
+from astertrack.net.client_connection import ClientConnection
 from astertrack.net.client_releases import ClientIdentity, ClientReleases
 from astertrack.net.clock import ReactorClock
 from astertrack.net.ended_calls import EndedCalls
-from astertrack.net.input_queue import InputQueue, QueueScheduler
-from astertrack.net.pacing import (
-    MAX_SET_UPS_PER_S,
-    RETRY_WAIT_US,
-    UNKNOWN_RELEASE_COST,
-    TokenBucket,
-)
-from astertrack.net.partial import PartialMessage
+from astertrack.net.input_queue import QueueScheduler
+from astertrack.net.pacing import RETRY_WAIT_US, UNKNOWN_RELEASE_COST
+from astertrack.net.resumed_orphans import ResumedOrphans
 from astertrack.wire import callapi as api
-from astertrack.wire import websocket as ws
-from astertrack.wire.common import Malformed, MalformedError
 
-log = structlog.get_logger()
 SWEEP_INTERVAL_US = 5_000_000  # between removals of ended calls
-PING_IDLE_US = 20_000_000  # a ping is sent after this time without received bytes
-UNRESPONSIVE_TIMEOUT_US = 60_000_000  # a connection is closed after this time without received bytes
 CHECK_INTERVAL_US = 250_000  # between checks of the connections
-# A connection whose handshake or message stays incomplete for this long is closed, as on the SIP front.
-MESSAGE_TIMEOUT_US = 2_400_000
-# A connection whose client does not read for this long is closed: this bounds the data that waits for the client.
-WRITE_BLOCKED_TIMEOUT_US = 10_000_000
 MAX_CONNECTIONS = 256
-MAX_RESUMED_ORPHANS = 10_000
 # With these messages a call ends. An answer is final for the set-up only: the call is established after it.
 ENDING_MESSAGES = (api.Refused, api.Failed, api.Cancelled, api.Released)
 
@@ -101,9 +84,7 @@
         self.calls: dict[str, ApiCall] = {}
         self.ended_calls = EndedCalls(self._forget)
         self.queues = QueueScheduler(clock)
-        # Calls that clients have resumed and this process does not know: perhaps established since before a restart.
-        self.resumed_orphans: dict[str, ClientConnection] = {}
-        self.absent_orphans: dict[str, ClientIdentity] = {}  # resumed on a connection that has ended; the oldest first
+        self.orphans = ResumedOrphans(counts)
         self.releases = ClientReleases(clock, counts, router.orphan_window_us, on_release_settled)
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
         self.clock.call_at(self.clock.now_us() + CHECK_INTERVAL_US, self._check_connections)
@@ -173,10 +154,8 @@
     def _on_resume(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
         if call is not None:
             self._send_state(connection, call_id, call)
-        elif self.router.may_be_orphan(call_id) and len(self.resumed_orphans) < MAX_RESUMED_ORPHANS:
-            self.counts["ws_orphans_resumed"] += 1
-            self.resumed_orphans[call_id] = connection
-            self.absent_orphans.pop(call_id, None)
+        elif self.router.may_be_orphan(call_id) and self.orphans.has_room():
+            self.orphans.resume(call_id, connection)
             connection.call_ids.add(call_id)
             connection.send_message(api.Unconfirmed(call_id))
         else:
@@ -242,9 +221,8 @@
 
     def _take_orphan(self, call_id: str, cause: int) -> ApiCall:
         """Remember the end of a call from before a restart like that of any call, for the client that resumed it."""
-        connection = self.resumed_orphans.pop(call_id, None)
-        client = self.absent_orphans.pop(call_id, None) if connection is None else connection.client
-        call = self.calls[call_id] = ApiCall(connection, api.Released(call_id, cause), None, client)
+        owner = self.orphans.take(call_id)
+        call = self.calls[call_id] = ApiCall(owner.connection, api.Released(call_id, cause), None, owner.client)
         return call
 
     def _set_up(self, connection: ClientConnection, message: api.SetUp) -> None:
@@ -273,7 +251,7 @@
         self.calls[message.id] = call = ApiCall(connection, api.Progress(message.id), digest_of(message),
                                                 connection.client)
         connection.call_ids.add(message.id)
-        self.resumed_orphans.pop(message.id, None)
+        self.orphans.forget(message.id)
         self.router.offer(Request(
             message.id, service, message.service, message.dest, message.number,
             min(message.deadline * 1000, max_deadline_us), message.description.encode(), message.width,
@@ -288,9 +266,7 @@
         if connection.client is not None:
             self.releases.remove_connection(connection, connection.client)
         for call_id in connection.call_ids:
-            if self.resumed_orphans.get(call_id) is connection:
-                del self.resumed_orphans[call_id]
-                self._keep_absent_orphan(call_id, connection.client)
+            self.orphans.on_closed(call_id, connection)
             call = self.calls.get(call_id)
             if call is None or call.connection is not connection:
                 continue
@@ -300,15 +276,6 @@
                 self._update_call(call_id, api.Cancelled(call_id))
         connection.call_ids.clear()
 
-    def _keep_absent_orphan(self, call_id: str, client: ClientIdentity | None) -> None:
-        """Remember whose call it is, for a client with a name: it may come back without knowing the call."""
-        if client is None:
-            return
-        self.absent_orphans[call_id] = client
-        if len(self.absent_orphans) > MAX_RESUMED_ORPHANS:
-            del self.absent_orphans[next(iter(self.absent_orphans))]
-            self.counts["ws_orphans_dropped"] += 1
-
     # ---- messages from the core
 
     def _update_call(self, call_id: str, message: api.Message) -> None:
@@ -349,124 +316,3 @@
         """Report that an established call has ended."""
         self.counts["ws_releases_sent"] += 1
         self._update_call(call_id, api.Released(call_id, cause))
-
-
-class ClientConnection(StreamProtocol):
-    """The connection of one client."""
-
-    def __init__(self, front: ApiFront, host: str) -> None:
-        self.front, self.counts, self.host = front, front.counts, host
-        self.client: ClientIdentity | None = None  # None: the client has given no name
-        self.websocket = ws.WebSocket(ws.Role.SERVER, front.path)
-        self.last_received_us = front.clock.now_us()
-        self.partial_message = PartialMessage(self.websocket, self.last_received_us)  # or the handshake
-        self.input = InputQueue(self, front.clock, front.queues, self._process, self._on_over_rate,
-                                self._on_reading_resumed)
-        self.set_up_bucket = TokenBucket(MAX_SET_UPS_PER_S, self.last_received_us)
-        self.call_ids: set[str] = set()  # of the calls whose messages it was the last to ask for
-        self.ping_sent = self.is_receiving = False  # is_receiving: output is written once, after all input
-
-    def connectionMade(self) -> None:
-        """Called by Twisted when the connection is established."""
-        super().connectionMade()
-        self.counts["ws_connections"] += 1
-        self.front.connections.add(self)
-        if self.transport is not None:  # reading pauses while the client does not read what it is sent
-            self.transport.registerProducer(BackpressureProducer(self, self.front.clock, self._on_pause), True)
-
-    def _on_pause(self) -> None:
-        self.counts["ws_pauses"] += 1
-
-    def _on_over_rate(self) -> None:
-        self.counts["ws_paused_over_rate"] += 1
-
-    def _on_reading_resumed(self) -> None:
-        self.partial_message.restart(self.front.clock.now_us())
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Called by Twisted when the connection has ended."""
-        self.input.clear()
-        self.front.on_closed(self)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Called by Twisted when bytes were received."""
-        self.input.receive(data)
-
-    def _process(self, data: bytes, has_left: bool) -> int:
-        """Process received bytes; return the number of messages that they completed."""
-        self.last_received_us = now = self.front.clock.now_us()
-        self.ping_sent, self.is_receiving = False, True
-        messages_before = self.websocket.message_count
-        events = self.websocket.receive(data)
-        self.partial_message.update(now)
-        for event in events:
-            match event:
-                case ws.Opened():
-                    self._identify(self.websocket.received_headers)
-                case ws.Text(raw):
-                    self._on_text(raw, has_left)
-                case ws.Closed():
-                    self.close()
-                case Malformed(reason):
-                    self.counts["ws_malformed"] += 1
-                    log.warning("malformed data from a client", reason=reason)
-                    self.close()
-        self.is_receiving = False
-        self.write(self.websocket.take_output())
-        return self.websocket.message_count - messages_before
-
-    def _identify(self, headers: dict[str, str]) -> None:
-        """Note who the client is, if it says so, and send it the releases that are held for it."""
-        try:
-            info = api.decode_client_headers(headers)
-        except MalformedError as error:
-            self.counts["ws_errors_sent"] += 1
-            self.send_message(api.Error("bad-field", str(error)))
-            return
-        if info is not None:
-            self.client = ClientIdentity(info.name, self.host)
-            started_us = None if info.started_ms is None else info.started_ms * 1000
-            self.front.releases.add_connection(self, self.client, started_us)
-
-    def send_release(self, call_id: str, cause: int) -> None:
-        """Send a release that the client has to confirm."""
-        self.send_message(api.Released(call_id, cause, confirm=True))
-
-    def _on_text(self, raw: str, has_left: bool) -> None:
-        try:
-            request = api.decode_request(raw)
-            if has_left and isinstance(request, api.SetUp):
-                self.counts["ws_set_ups_abandoned"] += 1
-                return
-            self.front.on_request(self, request)
-        except api.InvalidMessageError as error:
-            self.counts["ws_errors_sent"] += 1
-            self.send_message(api.Error(error.code, error.reason, error.id))
-
-    def send_message(self, message: api.Message) -> None:
-        """Send a message, or queue it while input is being processed."""
-        self.websocket.send(api.encode_message(message))
-        if not self.is_receiving:
-            self.write(self.websocket.take_output())
-
-    def check_timeouts(self, now_us: int) -> None:
-        """Ping an idle client, and close the connection if a timeout has expired."""
-        write_blocked = (self.write_blocked_since_us is not None
-                         and now_us - self.write_blocked_since_us > WRITE_BLOCKED_TIMEOUT_US)
-        if write_blocked or now_us - self.last_received_us > UNRESPONSIVE_TIMEOUT_US:
-            self.abort()
-        elif self.input.is_over_rate():
-            self.input.check_left()
-        elif self.partial_message.is_older_than(MESSAGE_TIMEOUT_US, now_us):
-            self.counts["ws_closed_half_sent"] += 1
-            self.abort()
-        elif now_us - self.last_received_us > PING_IDLE_US and not self.ping_sent:
-            self.ping_sent = True
-            self.websocket.ping()
-            self.write(self.websocket.take_output())
-
-    def close_going_away(self) -> None:
-        """Close the connection with status 1001 (going away), because the router stops."""
-        self.websocket.close(ws.CloseCode.GOING_AWAY)
-        self.write(self.websocket.take_output())
-        self.close()
--- a/tests/test_call_front.py
+++ b/tests/test_call_front.py
@@ -12,7 +12,8 @@
 from test_websocket_codec import HANDSHAKE, frame
 from twisted.internet.task import Clock
 
-from astertrack.net.websocket import ApiFront, ClientConnection
+from astertrack.net.client_connection import ClientConnection
+from astertrack.net.websocket import ApiFront
 from astertrack.wire import callapi as api
 
 
