Take orphans and changes of the roster out of the router's module

Which ids may be those of a process before a restart, and what a change of the roster does to its peers, need nothing of the router but its calls and its clock.

Change: core/orphans.py tells unknown ids and possible orphans, with the length of their window; core/roster.py applies a change and tells which peers are gone or have restarted.

Result: no change of behaviour. The tests of the router, restarts, named clients, links, the gate, callers and the bulletin pass (161).

--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -13,7 +13,7 @@
 from astertrack.core.calls import Attempt, Call
 from astertrack.core.circuits import CircuitEstimates
 from astertrack.core.gate import Admission, Gate, Refusal
-from astertrack.core.history import CallHistory, RecentAttempts
+from astertrack.core.history import RecentAttempts
 from astertrack.core.model import (
     NORMAL_CLEARING,
     TEMPORARY_FAILURE,
@@ -26,6 +26,8 @@
     Peers,
     Request,
 )
+from astertrack.core.orphans import Orphans
+from astertrack.core.roster import apply_change, gone_peers, restarted_peers
 from ospreylug import interface as io
 from ospreylug.logic import Controller
 
@@ -34,10 +36,6 @@
 # before the set-up is sent, 7 to 60 ms remained for an answer, which takes about 40 ms. With the short margin a busy
 # router answers a few calls too late, which costs no more than the margin gains.
 ANSWER_MARGIN_US = 10_000
-# After a start, a set-up that its caller may have sent to the previous process is taken for one whose call may still be
-# established at a peer: for this many times the longest mean holding time of a class, but no less than the minimum.
-ORPHAN_HOLDING_TIMES = 20
-MIN_ORPHAN_WINDOW_US = 60_000_000
 # A release before a set-up that waits for a connection delays the set-up by no more than this. Connections to peers may
 # take a second to be established.
 MAX_RELEASE_HOLD_US = 1_500_000
@@ -59,6 +57,7 @@
                  on_orphan_released: Callable[[str, int], None] = lambda call_id, cause: None,
                  gate: Gate | None = None, counts: Counter[str] | None = None) -> None:
         self.settings, self.clock, self.peers, self.log, self.record = settings, clock, peers, log, record
+        self._now_us = 0
         self.on_orphan_released = on_orphan_released  # releases a call of the previous process towards its caller
         self.controller = Controller(settings, seed)
         self.calls: dict[str, Call] = {}
@@ -67,13 +66,10 @@
         self.circuits = CircuitEstimates()
         self.counts: Counter[str] = counts if counts is not None else Counter()
         self.gate = gate if gate is not None else Gate((), log, self.counts)
-        self._history, self._recent_attempts = CallHistory(), RecentAttempts()
-        longest_hold_us = max(service.hold_us for service in settings.classes)
-        self.orphan_window_us = max(MIN_ORPHAN_WINDOW_US, ORPHAN_HOLDING_TIMES * longest_hold_us)
-        self._orphan_window_end_us = clock.now_us() + self.orphan_window_us
+        self._recent_attempts = RecentAttempts()
+        self.orphans = Orphans(settings.classes, self.calls, self.now_us)
         self._events: deque[io.Event] = deque()
         self._is_dispatching = False
-        self._now_us = 0
 
     # ---- requests of callers
 
@@ -88,7 +84,7 @@
             self.counts["offers_run_before"] += 1
             caller.on_refused(request.call_id, RETRY_WAIT_US)
             return True
-        self._history.add(request.call_id)
+        self.orphans.add_known(request.call_id)
         if request.release_first:  # also if the call is refused below: its caller must not be told so while it stands
             self._release_at_all_peers(request.call_id, NORMAL_CLEARING)
         call = self.calls[request.call_id] = Call(request, caller, now, request.deadline_us - ANSWER_MARGIN_US)
@@ -146,17 +142,9 @@
             self._cancel_attempt(call, io.Outcome.CALLED_OFF, settled=True)
         return True
 
-    def is_unknown(self, call_id: str) -> bool:
-        """Return whether this process has not handled the call; its previous process may have set it up."""
-        return call_id not in self.calls and call_id not in self._history
-
-    def may_be_orphan(self, call_id: str) -> bool:
-        """Return whether the call may be an orphan: set up by the previous process, and still established at a peer."""
-        return self.is_unknown(call_id) and self.now_us() < self._orphan_window_end_us
-
     def release_if_orphan(self, call_id: str) -> bool:
         """Release a call at all peers if it may be an orphan; return whether it may. Its id stays unknown."""
-        if not self.may_be_orphan(call_id):
+        if not self.orphans.may_stand(call_id):
             return False
         self._release_at_all_peers(call_id, NORMAL_CLEARING)
         return True
@@ -173,8 +161,8 @@
         Returns False if there is nothing to release: the call has ended, or has not been answered.
         """
         call = self.calls.get(call_id)
-        if self.is_unknown(call_id):
-            self._history.add(call_id)
+        if self.orphans.is_unknown(call_id):
+            self.orphans.add_known(call_id)
             self._release_at_all_peers(call_id, cause)
             return True
         if call is None or not call.is_established or call.attempt is None:
@@ -227,8 +215,8 @@
     def _pass_on_orphan_release(self, call_id: str, outcome: io.Outcome) -> None:
         """Pass the release of a call that the previous process set up on to its caller, once."""
         ended_normally = outcome is io.Outcome.OK
-        if self.is_unknown(call_id) and (ended_normally or outcome is io.Outcome.CUT):
-            self._history.add(call_id)
+        if self.orphans.is_unknown(call_id) and (ended_normally or outcome is io.Outcome.CUT):
+            self.orphans.add_known(call_id)
             self.counts["releases_passed_on"] += 1
             self.on_orphan_released(call_id, NORMAL_CLEARING if ended_normally else TEMPORARY_FAILURE)
 
@@ -246,25 +234,19 @@
 
     def set_roster(self, change: io.RosterChange) -> None:
         """Apply a change of the roster of peers that the bulletin announced."""
-        before = dict(self.roster)
-        if change.kind in (io.RosterKind.REPLACE, io.RosterKind.RESTORED):
-            self.roster = {}
-        for entry in change.entries:
-            if entry.readiness is io.Readiness.GONE:
-                self.roster.pop(entry.exchange, None)
-            else:
-                self.roster[entry.exchange] = entry
+        before, self.roster = self.roster, apply_change(self.roster, change)
         self._dispatch(change)
-        for peer, old in before.items():
-            new = self.roster.get(peer)
-            if new is None:
-                self.circuits.remove(peer)
-                self.on_peer_lost(peer)  # a peer that is gone sends no releases
-            elif new.started_us and new.started_us != old.started_us:
-                # The peer has restarted: its previous process held the calls that were sent to it before.
-                for call in list(self.calls_by_peer.get(peer, {}).values()):
-                    if call.is_established and call.attempt and call.attempt.sent_us < new.started_us:
-                        self._end_by_peer(call, AttemptEnd(io.Outcome.CUT))
+        for peer in gone_peers(before, self.roster):
+            self.circuits.remove(peer)
+            self.on_peer_lost(peer)  # a peer that is gone sends no releases
+        for entry in restarted_peers(before, self.roster):
+            self._cut_calls_sent_before(entry.exchange, entry.started_us or 0)
+
+    def _cut_calls_sent_before(self, peer: str, started_us: int) -> None:
+        """Cut the established calls that were sent to the previous process of a peer."""
+        for call in list(self.calls_by_peer.get(peer, {}).values()):
+            if call.is_established and call.attempt and call.attempt.sent_us < started_us:
+                self._end_by_peer(call, AttemptEnd(io.Outcome.CUT))
 
     # ---- actions of the module
 
--- a/astertrack/net/callers.py
+++ b/astertrack/net/callers.py
@@ -236,7 +236,7 @@
                         self.sip_connection.reject(call_id, REQUEST_TERMINATED)
                 case sip.CallReleased(call_id, cause):
                     self.counts["sip_hung_up"] += 1
-                    if self.router.is_unknown(call_id):
+                    if self.router.orphans.is_unknown(call_id):
                         message_count += UNKNOWN_RELEASE_COST - 1
                     self.router.release_call(call_id, cause)
                 case sip.Acknowledged():
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -85,7 +85,7 @@
         self.ended_calls = EndedCalls(self._forget)
         self.queues = QueueScheduler(clock)
         self.orphans = ResumedOrphans(counts)
-        self.releases = ClientReleases(clock, counts, router.orphan_window_us, on_release_settled)
+        self.releases = ClientReleases(clock, counts, router.orphans.window_us, on_release_settled)
         self.clock.call_at(self.clock.now_us() + SWEEP_INTERVAL_US, self._sweep)
         self.clock.call_at(self.clock.now_us() + CHECK_INTERVAL_US, self._check_connections)
 
@@ -154,7 +154,7 @@
     def _on_resume(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
         if call is not None:
             self._send_state(connection, call_id, call)
-        elif self.router.may_be_orphan(call_id) and self.orphans.has_room():
+        elif self.router.orphans.may_stand(call_id) and self.orphans.has_room():
             self.orphans.resume(call_id, connection)
             connection.call_ids.add(call_id)
             connection.send_message(api.Unconfirmed(call_id))
@@ -181,7 +181,7 @@
 
     def _on_release(self, connection: ClientConnection, release: api.Release, call: ApiCall | None) -> None:
         call_id = release.id
-        if call is None and not self.router.is_unknown(call_id):  # it ended long ago, or is another caller's
+        if call is None and not self.router.orphans.is_unknown(call_id):  # it ended long ago, or is another caller's
             raise api.InvalidMessageError("unknown-call", "no such call", call_id)
         if call is not None and call.is_ended:
             connection.send_message(call.last_message)
@@ -240,7 +240,7 @@
             self.counts["ws_refused_over_rate"] += 1
             connection.send_message(api.Refused(message.id, RETRY_WAIT_US // 1000, "over-rate"))
             return
-        if self.ended_calls.may_have_forgotten(now) and not self.router.is_unknown(message.id):
+        if self.ended_calls.may_have_forgotten(now) and not self.router.orphans.is_unknown(message.id):
             # Its end may be forgotten already: it must not be set up a second time.
             connection.send_message(api.Refused(message.id, RETRY_WAIT_US // 1000, "id-used"))
             return
@@ -256,7 +256,7 @@
             message.id, service, message.service, message.dest, message.number,
             min(message.deadline * 1000, max_deadline_us), message.description.encode(), message.width,
             transit=message.transit, via=message.via, cut_before=message.again,
-            release_first=not message.new_id and self.router.may_be_orphan(message.id)), self)
+            release_first=not message.new_id and self.router.orphans.may_stand(message.id)), self)
         if isinstance(call.last_message, api.Progress):  # otherwise the final message was sent within offer
             connection.send_message(call.last_message)
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -168,7 +168,7 @@
 
 def offer_after_restart(harness: RouterHarness, call_id: str, wait_us: int = 3 * SECOND) -> bool:
     """Offer a call that its caller may have sent to the previous process; return whether it was held."""
-    release_first = harness.router.may_be_orphan(call_id)
+    release_first = harness.router.orphans.may_stand(call_id)
     harness.router.offer(Request(call_id, 0, "ledger-read", 1, "5", harness.now + wait_us, b"offer",
                                  release_first=release_first), CallerPort(harness))
     return release_first
@@ -215,7 +215,7 @@
     harness = RouterHarness()
     harness.offer("new")  # of the SIP front, where each set-up has a new id, or with new_id
     assert harness.set_ups == [("x1", "new")]
-    assert not harness.router.may_be_orphan("new")
+    assert not harness.router.orphans.may_stand("new")
     harness.pass_time(20 * 10 * SECOND)  # twenty mean holding times after the start
     assert not offer_after_restart(harness, "later")
     assert harness.set_ups[-1] == ("x1", "later")
