Wait at a stop for releases that a destination of the API has not been sent yet

Seen in a new test: far, a destination, is down; the callers of three calls hang up; near gets SIGTERM. It exits at once, and the calls stand on at the exchange (docs/incidents/13, "Related paths").

Cause: App._finish waits for calls, and near had none left; the releases that wait for a connection were not looked at.

Links to binary peers are left out: they drop what waits once the peer is taken for dead.

--- a/astertrack/app.py
+++ b/astertrack/app.py
@@ -189,7 +189,7 @@
     def _finish(self) -> None:
         # Established calls need no router: their peers release them to the next process. Releases are passed on until
         # the timeout, but not until the platform's SIGKILL, which would leave the store and the counters unwritten.
-        waits_for_releases = self.router.calls and (
+        waits_for_releases = (self.router.calls or self.peers.has_releases_for_destinations()) and (
             self.clock.now_us() < (self.stop_requested_us or 0) + ESTABLISHED_TIMEOUT_US)
         if waits_for_releases or self.router.count_unanswered():
             self.clock.call_at(self.clock.now_us() + STOP_CHECK_INTERVAL_US, self._finish)
--- a/astertrack/net/peers.py
+++ b/astertrack/net/peers.py
@@ -243,6 +243,10 @@
         """
         return any(link.is_release_pending(call_id, link.name == peer) for link in self.links.values())
 
+    def has_releases_for_destinations(self) -> bool:
+        """Return whether a destination that is away has to be told of releases, while its calls may stand."""
+        return any(link.releases.queued and not link.calls_end_with_process for link in self.links.values())
+
     def probe(self, peer: str) -> None:
         """Send a probe to a peer."""
         if (link := self.links.get(peer)) is not None:
--- a/tests/test_restart_chains.py
+++ b/tests/test_restart_chains.py
@@ -9,7 +9,7 @@
 import pytest
 from test_program import new_call_id, run
 
-from laboratory.restart_chains import LOST_RELEASE_S, ReleasingNode, Scenario, run_scenario, running_chain
+from laboratory.restart_chains import LOST_RELEASE_S, RESTART_S, ReleasingNode, Scenario, run_scenario, running_chain
 from laboratory.stand_ins import ApiNode, SipCaller, running_router, wait_until
 
 HOLD_S = 0.5  # between a restart and the ends of the calls
@@ -48,6 +48,26 @@
     assert (result.stood, result.reached_the_exchange) == (scenario.calls, scenario.calls)
 
 
+def test_a_router_that_is_terminated_delivers_the_releases_that_wait_for_its_destination() -> None:
+    # Guards against docs/incidents/13: with its last call the router exited, and the release was lost with it.
+    async def work() -> None:
+        async with running_chain(Scenario("far and then near", calls=3, restarted=("far",))) as chain:
+            await chain.start()
+            await chain.connect_caller()
+            calls = await chain.place_standing_calls()
+            await chain.stop_routers()
+            for call in calls:
+                chain.sip_callers[0].send_request("BYE", call)
+            await asyncio.sleep(0.2)
+            chain.processes["near"].process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(RESTART_S)
+            await chain.start_router("far")
+            await wait_until(lambda: not chain.exchange.established_calls)
+            assert {call for call, _ in chain.exchange.received_releases} == set(calls)
+            assert await chain.processes["near"].process.wait() == 0
+    run(work)
+
+
 def test_calls_at_a_destination_that_does_not_come_back_are_released_in_time() -> None:
     async def work() -> None:
         destination, call = await ApiNode().start(), new_call_id()
