Repeat no release on a connection that was given it, and find the holders of one at once

Cause: a held release remembered only the last connection on which it was sent. Beside it, every set-up of the API looked through all named clients for releases under its id, a thousand at most.

Change: a held release remembers the open connections on which it was sent, and ClientReleases counts the holders of each.

--- a/astertrack/net/client_releases.py
+++ b/astertrack/net/client_releases.py
@@ -46,7 +46,7 @@
 
     cause: int
     requested_us: int
-    sent_on: ClientReleaseConnection | None = None  # the open connection on which it was sent
+    sent_on: tuple[ClientReleaseConnection, ...] = ()  # the open connections on which it was sent
 
 
 @dataclass(slots=True)
@@ -75,6 +75,7 @@
         self.clock, self.counts, self.orphan_window_us, self.on_settled = clock, counts, orphan_window_us, on_settled
         self._clients: dict[ClientIdentity, _Client] = {}
         self._held_count = 0
+        self._holder_counts = Counter[str]()  # by call id: the clients for which its release is held
         self._unclaimed: dict[str, HeldRelease] = {}  # of calls whose client is not known, the oldest first
 
     # ---- connections
@@ -95,9 +96,7 @@
                         self._hold(client, call_id, release.cause)
             self._forget_clients()
         client.connections[connection] = None
-        for release in client.releases.values():
-            release.sent_on = None  # the connection before may not have carried it
-        self._send_batch(client)
+        self._send_batch(client)  # also what was sent on the connection before, which may not have carried it
 
     def remove_connection(self, connection: ClientReleaseConnection, identity: ClientIdentity) -> None:
         """Take note that a connection has ended: what it may not have carried is sent on another one."""
@@ -106,8 +105,7 @@
             return
         client.connections.pop(connection, None)
         for release in client.releases.values():
-            if release.sent_on is connection:
-                release.sent_on = None
+            release.sent_on = tuple(other for other in release.sent_on if other is not connection)
         self._send_batch(client)
 
     def _may_have_orphans(self, client: _Client) -> bool:
@@ -146,21 +144,23 @@
     def confirm(self, identity: ClientIdentity, call_id: str) -> None:
         """Forget a release that its client has confirmed."""
         client = self._clients.get(identity)
-        if client is not None and client.releases.pop(call_id, None) is not None:
-            self._held_count -= 1
+        if client is not None and call_id in client.releases:
+            self._remove(client, call_id)
             self.counts["ws_releases_confirmed"] += 1
             self.on_settled(call_id)
 
     def withdraw(self, call_id: str) -> None:
         """Forget the releases of a call: its client has shown itself."""
         self._unclaimed.pop(call_id, None)
+        if not self.is_pending(call_id):
+            return
         for client in self._clients.values():
-            if client.releases.pop(call_id, None) is not None:
-                self._held_count -= 1
+            if call_id in client.releases:
+                self._remove(client, call_id)
 
     def is_pending(self, call_id: str) -> bool:
         """Return whether a client has not confirmed the release of this call."""
-        return any(call_id in client.releases for client in self._clients.values())
+        return call_id in self._holder_counts
 
     def expire(self) -> None:
         """Drop the releases whose retention time has passed. Called now and then."""
@@ -175,6 +175,7 @@
         if call_id in client.releases:
             return
         self._held_count += 1
+        self._holder_counts[call_id] += 1
         client.releases[call_id] = HeldRelease(cause, self.clock.now_us())
         if len(client.releases) > MAX_HELD_PER_CLIENT:
             self._drop_oldest(client)
@@ -182,14 +183,20 @@
             self._drop_oldest(max(self._clients.values(), key=lambda c: len(c.releases)))
 
     def _drop_oldest(self, client: _Client) -> None:
-        del client.releases[next(iter(client.releases))]
-        self._held_count -= 1
+        self._remove(client, next(iter(client.releases)))
         self.counts["ws_releases_dropped"] += 1
 
+    def _remove(self, client: _Client, call_id: str) -> None:
+        del client.releases[call_id]
+        self._held_count -= 1
+        self._holder_counts[call_id] -= 1
+        if not self._holder_counts[call_id]:
+            del self._holder_counts[call_id]
+
     def _send(self, client: _Client, call_id: str, connection: ClientReleaseConnection) -> None:
         release = client.releases.get(call_id)
-        if release is not None and release.sent_on is not connection:
-            release.sent_on = connection
+        if release is not None and connection not in release.sent_on:
+            release.sent_on += (connection,)
             self.counts["ws_releases_to_named"] += 1
             connection.send_release(call_id, release.cause)
 
@@ -198,7 +205,7 @@
         connection = client.connection
         if connection is None or client.is_sending:
             return
-        unsent = [call_id for call_id, release in client.releases.items() if release.sent_on is not connection]
+        unsent = [call_id for call_id, release in client.releases.items() if connection not in release.sent_on]
         for call_id in unsent[:BATCH_SIZE]:
             self._send(client, call_id, connection)
         if len(unsent) > BATCH_SIZE:
--- a/tests/test_client_releases.py
+++ b/tests/test_client_releases.py
@@ -93,6 +93,9 @@
     assert (old.sent, new.sent) == ([], ["a"])
     harness.releases.remove_connection(new, NEAR)
     assert old.sent == ["a"]
+    newest = harness.connect()
+    harness.releases.remove_connection(newest, NEAR)
+    assert (old.sent, newest.sent) == (["a"], ["a"])  # what a connection was given is not repeated there
 
 
 @pytest.mark.parametrize("stranger", [OTHER, ClientIdentity("near", "10.0.0.9"), ClientIdentity("Near", "10.0.0.1")])
@@ -227,8 +230,10 @@
                 assert len(set(connection.sent)) == len(connection.sent)
             for call in self.unconfirmed[identity][-MAX_HELD_PER_CLIENT:]:
                 assert self.harness.releases.is_pending(call)
-        held = sum(len(client.releases) for client in self.harness.releases._clients.values())
-        assert held == self.harness.releases._held_count
+        releases = self.harness.releases
+        held = Counter(call for client in releases._clients.values() for call in client.releases)
+        assert held.total() == releases._held_count
+        assert held == releases._holder_counts
 
 
 TestHeldReleases = HeldReleases.TestCase
