--- a/laboratory/restart_chains.py
+++ b/laboratory/restart_chains.py
@@ -50,6 +50,7 @@
     has_middle: bool = False
     caller_is_api_client: bool = False
     caller_hangs_up: bool = False  # otherwise the exchange ends the calls
+    exchange_dies: bool = False  # in place of releasing the calls
     calls_end_while_down: bool = False  # otherwise hold_s after the restart
     hold_s: float = 3.0
     crowd_per_s: int = 0  # SIP connections to near, and API connections to far, that never finish a request
@@ -93,6 +94,13 @@
             self.send_release(writer, call, NORMAL_CLEARING)
         await super().serve_messages(reader, writer)
 
+    def die(self) -> None:
+        """End all calls without a word: stop listening, and reset all connections."""
+        self.ended_at |= dict.fromkeys(self.established_calls, time.time())
+        self.stop()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def end_call(self, call: str) -> None:
         """Release a call that stands."""
         self.ended_at[call] = time.time()
@@ -257,7 +265,10 @@
                 await asyncio.sleep(RESTART_S)
 
     def end_calls(self, calls: list[str]) -> None:
-        """Let the exchange or the caller release the calls."""
+        """Let the exchange or the caller release the calls, or the exchange die."""
+        if self.scenario.exchange_dies:
+            self.exchange.die()
+            return
         for call in calls:
             if not self.scenario.caller_hangs_up:
                 if call in self.exchange.established_calls:
