Release calls at an exchange that dies after a restart: clients keep where they stand

Cause: a dying exchange sends no releases. far knew the calls, because near had resumed them, but not at which exchange.

Change: an answer to a client with a name says at which peer the call stands, and the client sends that back with resume; Orphans keeps it, bounded. When that peer is lost, gone or restarted, the router releases these calls, too.

--- a/astertrack/core/router.py
+++ b/astertrack/core/router.py
@@ -225,7 +225,22 @@
         lost = [call for call in self.calls_by_peer.get(peer, {}).values() if call.is_established]
         for call in lost:
             self._end_by_peer(call, AttemptEnd(io.Outcome.CUT))
-        return [call.request.call_id for call in lost]
+        return [call.request.call_id for call in lost] + self._cut_orphans(peer)
+
+    def place_orphan(self, call_id: str, peer: str) -> bool:
+        """Take note of where a call of the previous process stands; cut it, and return False, if that peer is gone."""
+        self.orphans.place(call_id, peer)
+        if peer in self.roster:
+            return True
+        self._cut_orphans(peer)
+        return False
+
+    def _cut_orphans(self, peer: str) -> list[str]:
+        """Release the orphans that are known to stand at a peer whose process has died. Return their ids."""
+        orphans = self.orphans.take_from(peer)
+        for call_id in orphans:
+            self._pass_on_orphan_release(call_id, io.Outcome.CUT)
+        return orphans
 
     def on_group_state(self, peer: str, load: io.Load, ok: bool = True, delay_us: int = 0) -> None:
         """Called when a peer has reported the state of the trunk group towards it, or has answered a probe."""
@@ -244,6 +259,8 @@
 
     def _cut_calls_sent_before(self, peer: str, started_us: int) -> None:
         """Cut the established calls that were sent to the previous process of a peer."""
+        if started_us >= self.orphans.started_us:
+            self._cut_orphans(peer)
         for call in list(self.calls_by_peer.get(peer, {}).values()):
             if call.is_established and call.attempt and call.attempt.sent_us < started_us:
                 self._end_by_peer(call, AttemptEnd(io.Outcome.CUT))
--- a/astertrack/net/apilink.py
+++ b/astertrack/net/apilink.py
@@ -109,6 +109,9 @@
     # cancelled set-up, and never set it up a second time.
     connection_lost_outcome: io.Outcome = io.Outcome.NUMBER_FAULT
     handshake_timeout_us: int = 0
+    # Where the destination says that the established calls stand, by call id: it may have forgotten that when they are
+    # resumed.
+    call_peers: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Begin with the timeout of a dial."""
@@ -167,16 +170,25 @@
 
     def resume_calls(self) -> None:
         """Request the state of the established calls, after a reconnect."""
-        for call_id, call in self.router.calls_by_peer.get(self.name, {}).items():
+        calls = self.router.calls_by_peer.get(self.name, {})
+        self.call_peers = {call_id: peer for call_id, peer in self.call_peers.items() if call_id in calls}
+        for call_id, call in calls.items():
             if call.is_established:
-                self._send_message(api.Resume(call_id))
+                self._send_message(api.Resume(call_id, self.call_peers.get(call_id)))
+
+    def release(self, call_id: str, cause: int) -> None:
+        """Cancel a set-up, or release an established call."""
+        self.call_peers.pop(call_id, None)
+        super().release(call_id, cause)
 
     def on_message(self, message: api.Message) -> None:
         """Pass a message from the destination to the router."""
         self.counts["peer_" + api.TYPE_NAMES[type(message)]] += 1
         match message:
-            case api.Answer(call_id, description):
+            case api.Answer(call_id, description, peer):
                 self.pending_set_ups.discard(call_id)
+                if peer is not None and call_id in self.router.calls_by_peer.get(self.name, {}):
+                    self.call_peers[call_id] = peer
                 self.router.on_answered(self.name, call_id, description.encode())
             case api.Refused(call_id, _, reason):
                 self._end_attempt(call_id, io.Outcome.TURNED_AWAY, REASON_CAUSES.get(reason, io.Cause.NONE))
@@ -212,4 +224,5 @@
 
     def _end_attempt(self, call_id: str, outcome: io.Outcome, cause: io.Cause = io.Cause.NONE) -> None:
         self.pending_set_ups.discard(call_id)
+        self.call_peers.pop(call_id, None)
         self.router.on_ended(self.name, call_id, AttemptEnd(outcome, cause))
--- a/astertrack/net/websocket.py
+++ b/astertrack/net/websocket.py
@@ -124,7 +124,7 @@
             case api.SetUp():
                 self._on_set_up(connection, request, call)
             case api.Resume():
-                self._on_resume(connection, request.id, call)
+                self._on_resume(connection, request, call)
             case api.Release():
                 self._on_release(connection, request, call)
             case api.Cancel():
@@ -151,13 +151,16 @@
         else:
             self._send_state(connection, set_up.id, call)
 
-    def _on_resume(self, connection: ClientConnection, call_id: str, call: ApiCall | None) -> None:
+    def _on_resume(self, connection: ClientConnection, request: api.Resume, call: ApiCall | None) -> None:
+        call_id = request.id
         if call is not None:
             self._send_state(connection, call_id, call)
         elif self.router.orphans.may_stand(call_id) and self.orphans.has_room():
             self.orphans.resume(call_id, connection)
             connection.call_ids.add(call_id)
             connection.send_message(api.Unconfirmed(call_id))
+            if request.peer is not None and not self.router.place_orphan(call_id, request.peer):
+                connection.input.spend(UNKNOWN_RELEASE_COST - 1)
         else:
             raise api.InvalidMessageError("unknown-call", "no such call", call_id)
 
@@ -300,7 +303,14 @@
     def on_answered(self, call_id: str, description: bytes) -> None:
         """Send the answer: the call is established."""
         self.counts["ws_answers_sent"] += 1
-        self._update_call(call_id, api.Answer(call_id, description.decode("utf-8", "replace")))
+        self._update_call(call_id, api.Answer(call_id, description.decode("utf-8", "replace"), self._peer_of(call_id)))
+
+    def _peer_of(self, call_id: str) -> str | None:
+        """Return where a call stands, if its client has a name: it remembers that over a restart of this router."""
+        front_call, call = self.calls.get(call_id), self.router.calls.get(call_id)
+        if front_call is None or front_call.client is None or call is None or call.attempt is None:
+            return None
+        return call.attempt.peer
 
     def on_refused(self, call_id: str, wait_us: int) -> None:
         """Refuse a set-up, and tell the caller when to try again."""
--- a/astertrack/wire/callapi.py
+++ b/astertrack/wire/callapi.py
@@ -65,6 +65,7 @@
     """Client: request the state of a call, and its further messages on this connection."""
 
     id: str
+    peer: str | None = None  # as the answer had it
 
 
 @dataclass(slots=True)
@@ -87,6 +88,7 @@
 
     id: str
     description: str = ""
+    peer: str | None = None  # where the call stands: for clients with a name, which send it back with a resume
 
 
 @dataclass(slots=True)
@@ -157,7 +159,8 @@
 TYPE_NAMES = {message_type: name for name, message_type in (REQUEST_TYPES | REPLY_TYPES).items()}
 FIELD_NAMES = {"class": "service"}  # by JSON key: the key class is a keyword of Python
 KEY_NAMES = {"service": "class"}  # by field
-MAX_TEXT_LENGTHS = {"number": 128, "service": 64, "code": 64, "reason": 512, "description": MAX_MESSAGE_BYTES}
+MAX_TEXT_LENGTHS = {"number": 128, "service": 64, "peer": 128, "code": 64, "reason": 512,
+                    "description": MAX_MESSAGE_BYTES}
 INTEGER_RANGES = {"dest": (-1, 2**31), "deadline": (0, 2**53), "via": (-1, 2**31), "cooldown": (0, 2**31),
                   "cause": (1, 127)}
 NUMBER_RANGES = {"width": (1e-6, 64.0), "free": (0.0, 1e9), "size": (0.0, 1e9), "hold_back": (0.0, 1.0)}
--- a/tests/test_client_releases.py
+++ b/tests/test_client_releases.py
@@ -9,6 +9,7 @@
 
 import pytest
 from drivers import FakeClock, FakeTransport, SipFrontHarness, close_by_peer, make_invite, released_calls
+from helpers import SETTINGS
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from test_router import RouterHarness
@@ -16,6 +17,7 @@
 from twisted.internet.task import Clock
 
 from astertrack.core import AttemptEnd
+from astertrack.core.orphans import MAX_PLACED_ORPHANS, Orphans
 from astertrack.net.client_releases import (
     BATCH_INTERVAL_US,
     BATCH_SIZE,
@@ -250,6 +252,11 @@
         self.settled, self.resumed = list[str](), list[str]()
         self.front = ApiFront(self.router_harness.router, FakeClock(self.reactor), {"ledger-read": 0}, self.counts,
                               "/calls", on_release_settled=self.settled.append, on_orphan_resumed=self.resumed.append)
+        self.router_harness.router.on_orphan_released = self.release_orphan
+
+    def release_orphan(self, call_id: str, cause: int) -> None:
+        """Release an orphan towards its client, if that is one of the API."""
+        self.front.release_orphan(call_id, cause)
 
     def connect(self, name: str = "", started_ms: str = "") -> tuple[Any, Any]:
         """Return a connection after its handshake, and its transport."""
@@ -367,6 +374,45 @@
     assert [m["code"] for m in messages(transport, "error")] == 2 * ["unknown-call"]
 
 
+def test_a_call_that_was_resumed_is_cut_when_the_peer_that_its_client_names_is_lost() -> None:
+    # Guards against docs/incidents/15: a restarted router did not know which of the resumed calls stood at a lost peer.
+    harness = FrontHarness()
+    connection, transport = harness.connect("near", "1")
+    for call, peer in (("1" * 16, "x1"), ("2" * 16, "x2"), ("3" * 16, "gone")):
+        send(connection, type="resume", id=call, peer=peer)
+    send(connection, type="resume", id="4" * 16)
+    assert [(m["id"], m["cause"]) for m in messages(transport, "released")] == [("3" * 16, CUT)]
+    router = harness.router_harness.router
+    assert router.on_peer_lost("x1") == ["1" * 16]
+    assert router.on_peer_lost("x1") == []
+    assert [m["id"] for m in messages(transport, "released")] == ["3" * 16, "1" * 16]
+    restarted = (io.Entry("x2", 2, 0, started_us=router.now_us() + 1),)
+    router.set_roster(io.RosterChange(io.RosterKind.UPDATE, restarted))
+    assert [m["id"] for m in messages(transport, "released")] == ["3" * 16, "1" * 16, "2" * 16]
+
+
+def test_a_client_with_a_name_is_told_where_its_call_stands() -> None:
+    harness = FrontHarness()
+    connection, transport = harness.connect("near", "1")
+    harness.establish(connection)
+    assert [m["peer"] for m in messages(transport, "answer")] == ["x1"]
+    connection, transport = harness.connect()
+    harness.establish(connection, "2" * 16)
+    assert ["peer" in m for m in messages(transport, "answer")] == [False]
+
+
+def test_the_orphans_whose_peer_is_known_are_bounded_and_each_is_at_one_peer() -> None:
+    orphans = Orphans(SETTINGS.classes, {}, lambda: 0)
+    for number in range(MAX_PLACED_ORPHANS + 1):
+        orphans.place(str(number), "x1")
+    orphans.place("1", "x2")
+    assert orphans.take_from("x2") == ["1"]
+    assert set(orphans.take_from("x1")) == {str(number) for number in range(2, MAX_PLACED_ORPHANS + 1)}
+    orphans.place("5", "x1")
+    orphans.add_known("5")  # it was released meanwhile
+    assert orphans.take_from("x1") == []
+
+
 def test_a_client_that_resumes_a_call_takes_its_release_from_those_that_may_have_placed_it() -> None:
     harness = FrontHarness()
     assert not harness.front.release_orphan(CALL, NORMAL)
--- a/tests/test_restart_chains.py
+++ b/tests/test_restart_chains.py
@@ -41,6 +41,14 @@
     assert (result.released_early, result.released_twice, result.strangers_told) == (0, 0, 0)
 
 
+def test_calls_at_an_exchange_that_dies_after_their_destination_has_restarted_are_released() -> None:
+    # Guards against docs/incidents/15: the destination did not know at which exchange the resumed calls stood.
+    scenario = Scenario("far, exchange dies", restarted=("far",), exchange_dies=True, hold_s=HOLD_S)
+    result = asyncio.run(run_scenario(scenario))
+    assert (result.stood, result.released_in_time) == (scenario.calls, scenario.calls)
+    assert (result.released_early, result.released_twice, result.strangers_told) == (0, 0, 0)
+
+
 def test_releases_by_callers_while_their_destination_restarts_reach_the_exchange() -> None:
     # Guards against docs/incidents/13: after two refused dials they were forgotten.
     scenario = Scenario("far", restarted=("far",), caller_hangs_up=True, calls_end_while_down=True, hold_s=HOLD_S)
